--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -8,7 +8,7 @@
 
 	"swifttiller/controlplane"
 	"swifttiller/disk"
-	"swifttiller/platform"
+	"swifttiller/listing"
 	"swifttiller/replica"
 	"swifttiller/serve"
 )
@@ -29,7 +29,7 @@
 	}
 	daemon, err := controlplane.New(controlplane.Options{
 		World: process.World, Net: process.Net, Process: *process.Process, Live: process.Live, Folder: folder, Incarnation: process.Incarnation,
-		Replicas: &replica.HTTP{World: process.World}, Platform: platform.HTTP{}, Log: process.Log,
+		Replicas: &replica.HTTP{World: process.World}, Platform: listing.HTTP{}, Log: process.Log,
 	})
 	if err != nil {
 		return serve.Daemon{}, err
--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -13,10 +13,9 @@
 
 	"swifttiller/disk"
 	"swifttiller/duty"
-	"swifttiller/journal"
+	"swifttiller/listing"
 	"swifttiller/loop"
 	"swifttiller/permit"
-	"swifttiller/platform"
 	"swifttiller/register"
 	"swifttiller/replica"
 	"swifttiller/rollout"
@@ -24,6 +23,7 @@
 	"swifttiller/settings"
 	"swifttiller/standing"
 	"swifttiller/wire"
+	"swifttiller/workflow"
 )
 
 // Options of a daemon: its place, and the outside world.
@@ -37,7 +37,7 @@
 	Folder      disk.Folder
 	Incarnation string
 	Replicas    replica.Client
-	Platform    platform.Client
+	Platform    listing.Client
 	Log         *zap.Logger
 	// Point is told of numbered points, for faults in tests.
 	Point func(name string)
@@ -52,7 +52,7 @@
 	Duties   *duty.Keeper
 	Office   *permit.Office
 	Objects  *rollout.Objects
-	Book     *journal.Book
+	Book     *workflow.Book
 
 	guard   sync.Mutex
 	regions map[string]*region
@@ -105,7 +105,7 @@
 		Alive: daemon.alive, Claims: daemon.claims, Reborn: daemon.reborn, Watched: daemon.Table.Watched, Wanted: daemon.duties,
 	}}
 	daemon.Objects = &rollout.Objects{World: options.World, Keeper: daemon.Keeper, Name: options.Process.Name + "." + options.Incarnation}
-	daemon.Book = &journal.Book{World: options.World, Keeper: daemon.Keeper}
+	daemon.Book = &workflow.Book{World: options.World, Keeper: daemon.Keeper}
 	return daemon, nil
 }
 
--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"swifttiller/duty"
-	"swifttiller/journal"
 	"swifttiller/loop"
 	"swifttiller/permit"
 	"swifttiller/register"
@@ -19,6 +18,7 @@
 	"swifttiller/standing"
 	"swifttiller/verdict"
 	"swifttiller/wire"
+	"swifttiller/workflow"
 )
 
 // unknown is how an operator's step ends when its outcome can't be told.
@@ -46,7 +46,7 @@
 		return verdict.Decline(422, "invalid", problems.Error(), 0)
 	case errors.As(err, &decline):
 		return verdict.Decline(409, "declined", decline.Reason, 0)
-	case errors.Is(err, journal.ErrBusy), errors.Is(err, journal.ErrOther), errors.Is(err, journal.ErrUsed), errors.Is(err, register.ErrCoreChange):
+	case errors.Is(err, workflow.ErrBusy), errors.Is(err, workflow.ErrOther), errors.Is(err, workflow.ErrUsed), errors.Is(err, register.ErrCoreChange):
 		return verdict.Decline(409, "conflict", err.Error(), 0)
 	case errors.Is(err, register.ErrNoMajority), errors.Is(err, register.ErrNoCore):
 		return verdict.Decline(503, "no_majority", err.Error(), time.Second)
@@ -122,7 +122,7 @@
 }
 
 // Handover starts a run in each region, or joins it.
-func (daemon *Daemon) Handover(id, model, version string, regions []string) (map[string]journal.Run, error) {
+func (daemon *Daemon) Handover(id, model, version string, regions []string) (map[string]workflow.Run, error) {
 	_, _, tree := daemon.Office.Current()
 	if tree == nil {
 		return nil, verdict.Decline(409, "no_configuration", "there is no configuration yet", 0)
@@ -145,7 +145,7 @@
 			return nil, verdict.Decline(404, "no_model", fmt.Sprintf("model %q is not placed in region %q", model, region), 0)
 		}
 	}
-	runs := map[string]journal.Run{}
+	runs := map[string]workflow.Run{}
 	for _, region := range regions {
 		run, _, err := daemon.Book.Start(rollout.Key(model, region), id, rollout.Contents{Model: model, Region: region, Version: version})
 		if err != nil {
@@ -159,7 +159,7 @@
 // ModelStatus is what an operator sees of a model.
 type ModelStatus struct {
 	rollout.Model
-	Shelves  map[string]journal.Shelf   `json:"runs"`
+	Shelves  map[string]workflow.Shelf  `json:"runs"`
 	Versions map[string]rollout.Version `json:"versions"`
 }
 
@@ -181,7 +181,7 @@
 		if err != nil {
 			return nil, err
 		}
-		one := ModelStatus{Model: object, Shelves: map[string]journal.Shelf{}}
+		one := ModelStatus{Model: object, Shelves: map[string]workflow.Shelf{}}
 		for _, region := range tree.Regions() {
 			shelf, _, err := daemon.Book.Read(rollout.Key(model, region))
 			if err != nil {
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -9,9 +9,9 @@
 
 	"go.uber.org/zap"
 
+	"swifttiller/listing"
 	"swifttiller/loop"
 	"swifttiller/permit"
-	"swifttiller/platform"
 	"swifttiller/register"
 	"swifttiller/replica"
 	"swifttiller/rollout"
@@ -22,7 +22,7 @@
 
 // watched is a replica as this daemon's probes have seen it.
 type watched struct {
-	platform.Listed
+	listing.Listed
 	vitals replica.Vitals
 	probed bool
 	// answered is when a probe was last answered; before the first answer, when
@@ -127,7 +127,7 @@
 	region.guard.Lock()
 	defer region.guard.Unlock()
 	region.listAt = now + span
-	var limited *platform.Limited
+	var limited *listing.Limited
 	if err != nil {
 		// Asked again soon, as there may be no list yet, but not before it wants to be.
 		region.listAt = now + min(span, tree.Span("dark_ms", region.name))
@@ -233,7 +233,7 @@
 	defer region.guard.Unlock()
 	for _, place := range last.Places {
 		if region.table[place.ID] == nil {
-			region.table[place.ID] = &watched{Listed: platform.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
+			region.table[place.ID] = &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
 		}
 	}
 	if len(last.Places) > 0 {
--- a/doctor/doctor.go
+++ b/doctor/doctor.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"swifttiller/controlplane"
-	"swifttiller/journal"
 	"swifttiller/rollout"
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/workflow"
 )
 
 // Severities of findings, from the worst.
@@ -370,7 +370,7 @@
 		}
 		for _, region := range slices.Sorted(maps.Keys(one.Shelves)) {
 			run := one.Shelves[region].Run
-			if run == nil || run.State != journal.Running || exam.tree == nil {
+			if run == nil || run.State != workflow.Running || exam.tree == nil {
 				continue
 			}
 			since := run.Began
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -14,8 +14,8 @@
 	"swifttiller/decide"
 	"swifttiller/disk"
 	"swifttiller/execute"
+	"swifttiller/listing"
 	"swifttiller/loop"
-	"swifttiller/platform"
 	"swifttiller/replica"
 	"swifttiller/settings"
 	"swifttiller/sim"
@@ -318,10 +318,10 @@
 }
 
 // List asks the stand-in platform.
-func (list *list) List(region string, patience time.Duration) ([]platform.Listed, error) {
+func (list *list) List(region string, patience time.Duration) ([]listing.Listed, error) {
 	loop.Sleep(list.node, 2*time.Millisecond)
 	status, body := list.park.Platform.List(strings.TrimPrefix(region, "http://"))
-	listed, err := platform.Answered(status, "", body)
+	listed, err := listing.Answered(status, "", body)
 	for _, one := range listed {
 		if one.Leaving {
 			list.park.learnLeaving(one.ID, list.park.marked[one.ID])
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -7,7 +7,7 @@
 
 	"swifttiller/controlplane"
 	"swifttiller/fleet"
-	"swifttiller/journal"
+	"swifttiller/workflow"
 )
 
 // TestPlacementsOfSeveralModels: one model everywhere, a second in one zone of one
@@ -42,7 +42,7 @@
 		}
 		return err
 	})
-	var run journal.Run
+	var run workflow.Run
 	park.Until(60*time.Second, func() bool {
 		park.Must("c1", func(daemon *controlplane.Daemon) error {
 			models, err := daemon.Handovers()
@@ -51,9 +51,9 @@
 			}
 			return err
 		})
-		return run.State != journal.Running && run.State != ""
+		return run.State != workflow.Running && run.State != ""
 	})
-	if run.State != journal.Done {
+	if run.State != workflow.Done {
 		t.Errorf("the run ended %q (%s) at %s %s", run.State, run.Reason, run.At, run.Last)
 	}
 	park.Run(5 * time.Second)
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -10,10 +10,10 @@
 
 	"swifttiller/controlplane"
 	"swifttiller/fleet"
-	"swifttiller/journal"
 	"swifttiller/rollout"
 	"swifttiller/sim"
 	"swifttiller/standing"
+	"swifttiller/workflow"
 )
 
 // quick is sahayogi with short waits, for tests of the roll-out's steps.
@@ -49,13 +49,13 @@
 }
 
 // settled waits until the region's run has ended and gives it.
-func settled(park *fleet.Park, region string, span time.Duration) journal.Run {
-	var run journal.Run
+func settled(park *fleet.Park, region string, span time.Duration) workflow.Run {
+	var run workflow.Run
 	park.Until(span, func() bool {
 		if shelf := status(park).Shelves[region]; shelf.Run != nil {
 			run = *shelf.Run
 		}
-		return run.State != journal.Running && run.State != ""
+		return run.State != workflow.Running && run.State != ""
 	})
 	return run
 }
@@ -78,14 +78,14 @@
 		park.Run(warm)
 		begin(park, "h1")
 		for _, region := range []string{"east", "middle", "west"} {
-			So(settled(park, region, 60*time.Second).State, ShouldEqual, journal.Done)
+			So(settled(park, region, 60*time.Second).State, ShouldEqual, workflow.Done)
 		}
 		model := status(park)
 		So(model.Live, ShouldEqual, "v2")
 		Convey("the same id joins the finished run, with other contents it is declined", func() {
 			park.Must("c2", func(daemon *controlplane.Daemon) error {
 				runs, err := daemon.Handover("h1", "roster", "v2", nil)
-				if err == nil && runs["east"].State != journal.Done {
+				if err == nil && runs["east"].State != workflow.Done {
 					return fmt.Errorf("got %+v", runs)
 				}
 				return err
@@ -318,7 +318,7 @@
 			park.Run(5 * time.Second)
 			park.StartControl(crashed)
 			run := settled(park, "east", 60*time.Second)
-			if run.State != journal.Done {
+			if run.State != workflow.Done {
 				t.Fatalf("the run ended %s (%s)", run.State, run.Reason)
 			}
 			names := map[string]bool{}
@@ -441,7 +441,7 @@
 		defer park.Close()
 		park.Run(warm)
 		begin(park, "h1", "east")
-		So(settled(park, "east", 60*time.Second).State, ShouldEqual, journal.Done)
+		So(settled(park, "east", 60*time.Second).State, ShouldEqual, workflow.Done)
 		unloaded := func() (count int) {
 			for _, one := range park.Replicas {
 				for _, order := range one.Loads {
--- a/platform/platform.go
+++ b/listing/listing.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's list of replicas: HTTP with
+// Package listing is the client of the platform's list of replicas: HTTP with
 // JSON, lagging, and limited in how often it may be asked.
-package platform
+package listing
 
 import (
 	"errors"
--- a/rollout/objects.go
+++ b/rollout/objects.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"swifttiller/journal"
 	"swifttiller/loop"
 	"swifttiller/register"
 	"swifttiller/standing"
+	"swifttiller/workflow"
 )
 
 // Keys of the registers of the objects. Each object's calls are serialized by
@@ -91,7 +91,7 @@
 		}
 		if region != "" {
 			if out.Fences[region] > fence {
-				return nil, journal.ErrFenced
+				return nil, workflow.ErrFenced
 			}
 			out.Fences[region] = fence
 		}
@@ -163,7 +163,7 @@
 		}
 		out = whole.Regions[region]
 		if fence > 0 && out.Fence > fence {
-			return nil, journal.ErrFenced
+			return nil, workflow.ErrFenced
 		}
 		if fence > 0 {
 			out.Fence = fence
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -9,11 +9,11 @@
 	"strings"
 	"time"
 
-	"swifttiller/journal"
 	"swifttiller/loop"
 	"swifttiller/replica"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/workflow"
 )
 
 // Contents is what a run is about.
@@ -33,7 +33,7 @@
 func (plainly *Plainly) Error() string { return plainly.Reason }
 
 // Unwrap makes it terminal.
-func (plainly *Plainly) Unwrap() error { return &journal.Terminal{Reason: plainly.Reason} }
+func (plainly *Plainly) Unwrap() error { return &workflow.Terminal{Reason: plainly.Reason} }
 
 // Key is a run's shelf.
 func Key(model, region string) string { return model + "/" + region }
@@ -56,12 +56,12 @@
 type Runner struct {
 	World   loop.World
 	Objects *Objects
-	Book    *journal.Book
+	Book    *workflow.Book
 	Client  replica.Client
 	// Point, if set, is told of each step's passing, for faults in tests.
 	Point func(name string)
 
-	logs   map[string]*journal.Log
+	logs   map[string]*workflow.Log
 	orders map[string]time.Duration // when an order was last sent
 	// began is when this runner first waited for what the key names, on its own
 	// clock. Spans of a run go by it: a calendar may jump, and the next holder's may
@@ -90,7 +90,7 @@
 }
 
 // waits names a run's waiting at a step.
-func waits(log *journal.Log, contents Contents, step string) string {
+func waits(log *workflow.Log, contents Contents, step string) string {
 	return Key(contents.Model, contents.Region) + "|" + log.Run().ID + "|" + step
 }
 
@@ -103,11 +103,11 @@
 // Turn does what can be done now for every model of the region.
 func (runner *Runner) Turn(scene Scene) error {
 	if runner.logs == nil {
-		runner.logs, runner.orders, runner.began, runner.guarded = map[string]*journal.Log{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]guarded{}
+		runner.logs, runner.orders, runner.began, runner.guarded = map[string]*workflow.Log{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]guarded{}
 	}
 	var failed error
 	for _, model := range scene.Tree.Models(scene.Region) {
-		if err := runner.turn(scene, model); err != nil && !errors.Is(err, journal.ErrWait) {
+		if err := runner.turn(scene, model); err != nil && !errors.Is(err, workflow.ErrWait) {
 			failed = fmt.Errorf("roll-out of %s in %s: %w", model, scene.Region, err)
 		}
 	}
@@ -126,10 +126,10 @@
 	if log != nil {
 		runner.logs[key] = log
 		err := runner.advance(scene, log)
-		var terminal *journal.Terminal
+		var terminal *workflow.Terminal
 		switch {
 		case err == nil:
-			err = log.Finish(journal.Done, "")
+			err = log.Finish(workflow.Done, "")
 		case errors.As(err, &terminal):
 			var plainly *Plainly
 			isPlain := errors.As(err, &plainly)
@@ -138,16 +138,16 @@
 				err = runner.abandon(scene, work{log.Run().ID, log.Recorded("route", nil), log.Recorded("trial-order", nil) || log.Recorded("order", nil)}, contents, isPlain)
 			}
 			if err == nil {
-				err = log.Finish(journal.Failed, terminal.Reason)
+				err = log.Finish(workflow.Failed, terminal.Reason)
 			}
 		}
-		if !errors.Is(err, journal.ErrWait) {
+		if !errors.Is(err, workflow.ErrWait) {
 			delete(runner.logs, key) // finished, or to be read anew
 			maps.DeleteFunc(runner.began, func(at string, _ time.Duration) bool {
-				return log.Run().State != journal.Running && strings.HasPrefix(at, key+"|"+log.Run().ID+"|")
+				return log.Run().State != workflow.Running && strings.HasPrefix(at, key+"|"+log.Run().ID+"|")
 			})
 		}
-		if err != nil && !errors.Is(err, journal.ErrWait) {
+		if err != nil && !errors.Is(err, workflow.ErrWait) {
 			return err
 		}
 	} else if isBack, err := runner.guard(scene, model); err != nil || isBack {
@@ -196,10 +196,10 @@
 }
 
 // advance goes through the steps, past those that are recorded.
-func (runner *Runner) advance(scene Scene, log *journal.Log) error {
+func (runner *Runner) advance(scene Scene, log *workflow.Log) error {
 	contents, err := read(log)
 	if err != nil {
-		return &journal.Terminal{Reason: err.Error()}
+		return &workflow.Terminal{Reason: err.Error()}
 	}
 	var base struct{ Old string }
 	if err := log.Step("validate", func() (any, error) {
@@ -271,14 +271,14 @@
 	}, nil)
 }
 
-func read(log *journal.Log) (contents Contents, err error) {
+func read(log *workflow.Log) (contents Contents, err error) {
 	return contents, unmarshal(log.Run().Contents, &contents)
 }
 
 // validate checks the record and claims the region's route for this run.
-func (runner *Runner) validate(scene Scene, log *journal.Log, contents Contents) (string, error) {
+func (runner *Runner) validate(scene Scene, log *workflow.Log, contents Contents) (string, error) {
 	if _, placed := scene.Tree.Placement(contents.Model, scene.Region); !placed {
-		return "", &journal.Terminal{Reason: fmt.Sprintf("model %q is not placed in region %s", contents.Model, scene.Region)}
+		return "", &workflow.Terminal{Reason: fmt.Sprintf("model %q is not placed in region %s", contents.Model, scene.Region)}
 	}
 	old := ""
 	_, err := runner.Objects.Change(contents.Model, scene.Region, scene.Duty, func(model *Model) error {
@@ -286,10 +286,10 @@
 		old = route.Version
 		if contents.Automatic {
 			if model.RolledBack {
-				return &journal.Terminal{Reason: "the model was rolled back; automatic roll-outs wait for a promote"}
+				return &workflow.Terminal{Reason: "the model was rolled back; automatic roll-outs wait for a promote"}
 			}
 			if route.Bears(contents.Version) || model.Failed[contents.Version] != "" {
-				return &journal.Terminal{Reason: fmt.Sprintf("version %s failed here before; promote to let it be tried again", contents.Version)}
+				return &workflow.Terminal{Reason: fmt.Sprintf("version %s failed here before; promote to let it be tried again", contents.Version)}
 			}
 			model.Wanted[scene.Region] = contents.Wanted
 		}
@@ -301,7 +301,7 @@
 }
 
 // route writes the region's row, while this run still has the claim to it.
-func (runner *Runner) route(scene Scene, log *journal.Log, contents Contents, revise func(*Model, *standing.Route)) error {
+func (runner *Runner) route(scene Scene, log *workflow.Log, contents Contents, revise func(*Model, *standing.Route)) error {
 	_, err := runner.Objects.Change(contents.Model, scene.Region, scene.Duty, func(model *Model) error {
 		route := model.Routes[scene.Region]
 		if err := claim(model, route, log, contents); err != nil {
@@ -338,13 +338,13 @@
 		case errors.As(err, &wait):
 			limited = max(limited, wait.ComeBack)
 		case errors.As(err, &rejected):
-			return nil, &journal.Terminal{Reason: fmt.Sprintf("replica %s: %v", one.ID, err)}
+			return nil, &workflow.Terminal{Reason: fmt.Sprintf("replica %s: %v", one.ID, err)}
 		case err == nil:
 			ordered = append(ordered, one.ID)
 		}
 	}
 	if limited > 0 {
-		return nil, &journal.Limited{ComeBack: limited}
+		return nil, &workflow.Limited{ComeBack: limited}
 	}
 	if len(ordered) == 0 {
 		return nil, errors.New("no replica took the order")
@@ -361,7 +361,7 @@
 }
 
 // ready waits until enough of the replicas hold the version.
-func (runner *Runner) ready(scene Scene, log *journal.Log, contents Contents, since string, only []string) (any, error) {
+func (runner *Runner) ready(scene Scene, log *workflow.Log, contents Contents, since string, only []string) (any, error) {
 	var holding, wanted []string
 	for _, one := range scene.placed(contents.Model) {
 		if only == nil && (!one.Alive || one.Leaving) || only != nil && !has(only, one.ID) {
@@ -380,14 +380,14 @@
 		return holding, nil
 	}
 	if span := scene.Tree.Span("load_ms", scene.Region); runner.spent(waits(log, contents, since)) > span {
-		return nil, &journal.Terminal{Reason: fmt.Sprintf("only %d of %d replicas loaded %s within %v", len(holding), len(wanted), contents.Version, span)}
+		return nil, &workflow.Terminal{Reason: fmt.Sprintf("only %d of %d replicas loaded %s within %v", len(holding), len(wanted), contents.Version, span)}
 	}
-	return nil, journal.ErrWait
+	return nil, workflow.ErrWait
 }
 
 // trial puts the version on few replicas at their normal load and judges it by
 // kind of request against the old one.
-func (runner *Runner) trial(scene Scene, log *journal.Log, contents Contents, old string) error {
+func (runner *Runner) trial(scene Scene, log *workflow.Log, contents Contents, old string) error {
 	var selected []string
 	if err := log.Step("trial-select", func() (any, error) {
 		runner.point("trial-select")
@@ -431,7 +431,7 @@
 
 // selectTrial picks the replicas; one region of a model tries at a time, so
 // that the small share is one of the whole.
-func (runner *Runner) selectTrial(scene Scene, log *journal.Log, contents Contents) ([]string, error) {
+func (runner *Runner) selectTrial(scene Scene, log *workflow.Log, contents Contents) ([]string, error) {
 	count := int(scene.Tree.Limit("trial_replicas", scene.Region))
 	var able []string
 	for _, one := range scene.placed(contents.Model) {
@@ -440,14 +440,14 @@
 		}
 	}
 	if len(able) == 0 {
-		return nil, journal.ErrWait
+		return nil, workflow.ErrWait
 	}
 	sort.Strings(able)
 	selected := able[:min(count, len(able))]
 	_, err := runner.Objects.Change(contents.Model, scene.Region, scene.Duty, func(model *Model) error {
 		for _, region := range sorted(model.Routes) {
 			if other := model.Routes[region]; region != scene.Region && len(other.TrialReplicas) > 0 {
-				return journal.ErrWait
+				return workflow.ErrWait
 			}
 		}
 		route := model.Routes[scene.Region]
@@ -554,7 +554,7 @@
 	Reason string
 }
 
-func (runner *Runner) judge(scene Scene, log *journal.Log, contents Contents, old string, base map[string]standing.Outcome) (any, error) {
+func (runner *Runner) judge(scene Scene, log *workflow.Log, contents Contents, old string, base map[string]standing.Outcome) (any, error) {
 	mine, other := since(scene, contents, old, base)
 	if kind, bad := plain(scene, contents, old, mine, other); bad {
 		return nil, &Plainly{fmt.Sprintf("version %s fails on kind %q: %d of %d", contents.Version, kind, mine[kind].Mishaps+mine[kind].Late, max(mine[kind].Mishaps+mine[kind].OK, mine[kind].Mishaps+mine[kind].Late))}
@@ -564,7 +564,7 @@
 	}
 	spent := runner.spent(waits(log, contents, "trial-judge"))
 	if spent < scene.Tree.Span("trial_ms", scene.Region) {
-		return nil, journal.ErrWait
+		return nil, workflow.ErrWait
 	}
 	short := ""
 	samples := int(scene.Tree.Limit("trial_samples", scene.Region))
@@ -574,7 +574,7 @@
 		}
 	}
 	if (short != "" || len(mine) == 0) && spent < scene.Tree.Span("trial_most_ms", scene.Region) {
-		return nil, journal.ErrWait
+		return nil, workflow.ErrWait
 	}
 	if short != "" {
 		// Too few to be plain, but nothing speaks for it either: a version that
@@ -593,7 +593,7 @@
 }
 
 // claimed ends the run when an operator has taken the route from it.
-func (runner *Runner) claimed(scene Scene, log *journal.Log, contents Contents) error {
+func (runner *Runner) claimed(scene Scene, log *workflow.Log, contents Contents) error {
 	have, err := runner.Objects.Model(contents.Model)
 	if err != nil {
 		return err
@@ -602,19 +602,19 @@
 }
 
 // claim tells whether the run may still go on.
-func claim(model *Model, route standing.Route, log *journal.Log, contents Contents) error {
+func claim(model *Model, route standing.Route, log *workflow.Log, contents Contents) error {
 	if model.Failed[contents.Version] == log.Run().ID {
-		return &journal.Terminal{Reason: fmt.Sprintf("version %s failed in another region", contents.Version)}
+		return &workflow.Terminal{Reason: fmt.Sprintf("version %s failed in another region", contents.Version)}
 	}
 	if route.Run != log.Run().ID {
-		return &journal.Terminal{Reason: "superseded: the route was moved meanwhile"}
+		return &workflow.Terminal{Reason: "superseded: the route was moved meanwhile"}
 	}
 	return nil
 }
 
 // watch keeps an eye on the version after the move and takes it back when its
 // failures become plain.
-func (runner *Runner) watch(scene Scene, log *journal.Log, contents Contents, old string) error {
+func (runner *Runner) watch(scene Scene, log *workflow.Log, contents Contents, old string) error {
 	var base map[string]standing.Outcome
 	if err := log.Step("watch-base", func() (any, error) { return totals(scene, contents, old), nil }, &base); err != nil {
 		return err
@@ -629,7 +629,7 @@
 			return nil, err
 		}
 		if runner.spent(waits(log, contents, "watch")) < scene.Tree.Span("watch_ms", scene.Region) {
-			return nil, journal.ErrWait
+			return nil, workflow.ErrWait
 		}
 		return "no plain failures", nil
 	}, nil)
@@ -673,7 +673,7 @@
 		return false, err
 	}
 	shelf, _, err := runner.Book.Read(Key(model, scene.Region))
-	if err != nil || shelf.Run == nil || shelf.Run.State == journal.Running {
+	if err != nil || shelf.Run == nil || shelf.Run.State == workflow.Running {
 		return false, err
 	}
 	runner.point("guard")
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -70,6 +70,10 @@
 	zones    map[string]map[string]Leaf
 	regionOf map[string]string
 	platform map[string]string
+	routes   map[string][]*Route // by host, the longest prefix first
+	engines  map[string]*Engine
+	intake   Intake
+	label    uint64
 }
 
 // Parse checks a whole document. The tree is nil when there are problems.
@@ -117,7 +121,9 @@
 				})
 			})
 		default:
-			problems.add(path, "is unknown; the tree has whole and regions")
+			if !tree.sections(key, value, path, &problems) {
+				problems.add(path, "is unknown; the tree has whole, regions, routes, engines, intake, label and origin")
+			}
 		}
 	})
 	if len(tree.regions) == 0 {
--- a/journal/journal.go
+++ b/workflow/workflow.go
@@ -1,7 +1,7 @@
-// Package journal keeps durable runs on the registers: a run has an id that its
+// Package workflow keeps durable runs on the registers: a run has an id that its
 // starter supplies, its steps are recorded once each by name, and whoever holds
 // the duty resumes it past its last recorded step.
-package journal
+package workflow
 
 import (
 	"crypto/sha256"
