--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -37,8 +37,10 @@
 	Folder      disk.Folder
 	Incarnation string
 	Replicas    replica.Client
-	Platform    listing.Client
-	Log         *zap.Logger
+	// Dialect, if set, is how replicas of models with an engine are asked.
+	Dialect  replica.Dialect
+	Platform listing.Client
+	Log      *zap.Logger
 	// Point is told of numbered points, for faults in tests.
 	Point func(name string)
 }
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -30,6 +30,16 @@
 	answered time.Duration
 	leaving  bool
 	unlisted bool
+	// coldUntil is until when it is cold, as far as list and probes have told.
+	coldUntil time.Duration
+}
+
+// engine is what the tree says of the replica's kind; nil where probes tell all.
+func (one *watched) engine(tree *settings.Tree) *settings.Engine {
+	if one.Model == "" {
+		return nil
+	}
+	return tree.Engine(one.Model)
 }
 
 // region is one region's tables and loops. They run while this daemon holds the
@@ -54,6 +64,8 @@
 	routes map[string]standing.Route // as last read
 	runner *rollout.Runner
 	failed string
+	// evacuated are the zones that were, when the table was last read.
+	evacuated map[string]bool
 }
 
 func newRegion(daemon *Daemon, name string) *region {
@@ -122,7 +134,7 @@
 		return
 	}
 	span := tree.Span("platform_ms", region.name)
-	listed, err := region.Platform.List(address, min(span, region.span()))
+	listed, err := region.Platform.List(address, tree.Zones(region.name), min(span, region.span()))
 	now := region.World.Now()
 	region.guard.Lock()
 	defer region.guard.Unlock()
@@ -140,6 +152,9 @@
 	region.listErr = ""
 	seen := map[string]bool{}
 	for _, one := range listed {
+		if at, known := tree.RegionOf(one.Zone); one.Model != "" && (!known || at != region.name) {
+			continue
+		}
 		seen[one.ID] = true
 		have := region.table[one.ID]
 		if have == nil || have.Address != one.Address {
@@ -150,6 +165,7 @@
 		have.Listed = one
 		have.unlisted = false
 		have.leaving = have.leaving || one.Leaving
+		have.coldUntil = max(have.coldUntil, now+one.Cold)
 	}
 	for id, have := range region.table {
 		if !seen[id] {
@@ -169,11 +185,12 @@
 	type target struct {
 		*watched
 		id, address string
+		engine      *settings.Engine
 	}
 	region.guard.Lock()
 	var targets []target
 	for id, one := range region.table {
-		targets = append(targets, target{one, id, one.Address})
+		targets = append(targets, target{one, id, one.Address, one.engine(tree)})
 	}
 	region.guard.Unlock()
 	sort.Slice(targets, func(a, b int) bool { return targets[a].id < targets[b].id })
@@ -181,7 +198,13 @@
 	for _, one := range targets {
 		region.World.Go(func() {
 			asked := region.World.Now()
-			vitals, err := region.Replicas.Probe(one.address, patience)
+			var vitals replica.Vitals
+			var err error
+			if one.engine != nil && region.Dialect != nil {
+				vitals, err = region.Dialect.Probe(replica.Target{ID: one.id, Address: one.address, Path: one.engine.ProbePath}, patience)
+			} else {
+				vitals, err = region.Replicas.Probe(one.address, patience)
+			}
 			region.guard.Lock()
 			defer region.guard.Unlock()
 			if err != nil || asked < one.answered {
@@ -191,6 +214,7 @@
 				one.leaving = one.Leaving
 			}
 			one.vitals, one.probed, one.answered = vitals, true, asked
+			one.coldUntil = max(one.coldUntil, asked+vitals.Cold)
 			one.leaving = one.leaving || vitals.Leaving
 		})
 	}
@@ -204,11 +228,15 @@
 	defer region.guard.Unlock()
 	var out []standing.Replica
 	for _, one := range region.table {
-		out = append(out, standing.Replica{
+		row := standing.Replica{
 			ID: one.ID, Address: one.Address, Zone: one.Zone, Region: region.name,
 			Leaving: one.leaving || one.unlisted, Alive: one.probed && now-one.answered < dark,
-			Boot: one.vitals.Boot, Held: one.vitals.Held, Load: one.vitals.Load,
-		})
+			Boot: one.vitals.Boot, Held: one.vitals.Held, Load: one.vitals.Load, Cold: now < one.coldUntil,
+		}
+		if one.engine(tree) != nil {
+			row.Boot, row.Held = one.ID, map[string]string{one.Model + "/" + one.Version: standing.Ready}
+		}
+		out = append(out, row)
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
 	return out
@@ -270,14 +298,16 @@
 		return
 	}
 	config, whole, _ := region.Office.Current()
+	evacuated := map[string]bool{}
+	for _, zone := range whole.Evacuated {
+		evacuated[zone] = true
+	}
+	region.handedBack(tree, evacuated)
 	input := standing.Input{
-		Region: region.name, Tree: tree, Config: config, Duty: serial, Evacuated: map[string]bool{}, Replicas: region.rows(tree),
+		Region: region.name, Tree: tree, Config: config, Duty: serial, Evacuated: evacuated, Replicas: region.rows(tree),
 		Gone: region.Table.Gone(), Routes: map[string]standing.Route{}, Before: before, Since: now - written,
 	}
 	input.Daemons, _ = region.daemons()
-	for _, zone := range whole.Evacuated {
-		input.Evacuated[zone] = true
-	}
 	for _, model := range models {
 		if object, err := rollout.OpenModel(values[rollout.ModelPrefix+model]); err == nil {
 			if route, known := object.Routes[region.name]; known {
@@ -313,6 +343,20 @@
 	region.keep(serial, &next, now, now)
 }
 
+// handedBack takes replicas of zones that are evacuated no more for cold: what became
+// of them meanwhile nobody saw.
+func (region *region) handedBack(tree *settings.Tree, evacuated map[string]bool) {
+	now := region.World.Now()
+	region.guard.Lock()
+	defer region.guard.Unlock()
+	for _, one := range region.table {
+		if engine := one.engine(tree); engine != nil && region.evacuated[one.Zone] && !evacuated[one.Zone] {
+			one.coldUntil = max(one.coldUntil, now+engine.Cold)
+		}
+	}
+	region.evacuated = evacuated
+}
+
 // unprobed tells whether some replica may yet answer its first probe.
 func (region *region) unprobed(tree *settings.Tree) bool {
 	now := region.World.Now()
--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -29,8 +29,10 @@
 	Live        *settings.Live
 	Incarnation string
 	Replicas    replica.Client
-	Log         *zap.Logger
-	Traced      func(execute.Record)
+	// Relayer, if set, is the client for routed requests.
+	Relayer execute.Relayer
+	Log     *zap.Logger
+	Traced  func(execute.Record)
 }
 
 // Daemon is a data daemon.
@@ -42,6 +44,7 @@
 	Executor *execute.Executor
 	began    time.Duration
 	leaving  atomic.Bool
+	attended attended
 }
 
 // New makes a daemon; it has no permit yet.
@@ -66,7 +69,7 @@
 		Changed: func(*permit.View) { daemon.Decider.Wake() },
 	})
 	daemon.Executor = &execute.Executor{Options: execute.Options{
-		World: options.World, Decider: daemon.Decider, Client: options.Replicas, Holder: daemon.Holder.View, Log: options.Log, Traced: options.Traced,
+		World: options.World, Decider: daemon.Decider, Client: options.Replicas, Relayer: options.Relayer, Holder: daemon.Holder.View, Log: options.Log, Traced: options.Traced,
 	}}
 	return daemon
 }
@@ -89,7 +92,7 @@
 	process := daemon.Process
 	return session.Member{
 		Name: process.Name, Incarnation: daemon.Incarnation, Role: session.Data, Region: process.Region, Zone: process.Zone,
-		Wire: process.Wire, HTTP: process.HTTP, Uptime: daemon.World.Now() - daemon.began, Leaving: daemon.leaving.Load(),
+		Wire: process.Wire, HTTP: process.HTTP, Door: process.Door, Uptime: daemon.World.Now() - daemon.began, Leaving: daemon.leaving.Load(),
 	}
 }
 
@@ -133,6 +136,9 @@
 func (daemon *Daemon) Run() {
 	daemon.World.Go(daemon.Client.Run)
 	daemon.World.Go(daemon.Holder.Run)
+	if relay, isRelay := daemon.Relayer.(*replica.Relay); isRelay {
+		daemon.World.Go(func() { daemon.tend(relay) })
+	}
 	daemon.World.Go(func() {
 		had := false
 		loop.Every(daemon.World, func() time.Duration { return daemon.span() / 6 }, func() bool {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,15 @@
 	Serial                    uint64
 	Cost                      int
 	Trial, Spill, Affine      bool
-	call                      *Call
+	// Foreseen is the time to the first piece that a routed request was sent for.
+	Foreseen time.Duration
+	call     *Call
+
+	routed   *Routed
+	seat     *engine
+	unread   int
+	sent     time.Duration
+	hasBegun bool
 }
 
 // Options of a decider.
@@ -106,6 +114,10 @@
 	past    map[string]string
 	counts  Counts
 	tickets tickets
+	// engines are this daemon's knowledge of replicas, by id, for routed requests;
+	// readRate is how fast they read prompts, zero until learned.
+	engines  map[string]*engine
+	readRate float64
 }
 
 // Counts are what operators watch.
@@ -118,7 +130,7 @@
 
 // New makes a decider.
 func New(options Options) *Decider {
-	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}}
+	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}}
 	decider.counts.Declined = map[string]uint64{}
 	decider.window.totals = map[standing.Outcome]standing.Outcome{}
 	decider.tickets.init()
--- /dev/null
+++ b/decide/engine.go
@@ -0,0 +1,133 @@
+package decide
+
+import (
+	"container/list"
+	"time"
+)
+
+// Part is one piece of a prompt, in order; equal ids are equal pieces.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Load is what a replica says of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// keeping is what a replica is taken to have kept of the prompts that this daemon
+// sent it, the least lately used part first.
+//
+// Invariants: tokens is the sum over order; a part is in index exactly when it is in
+// order.
+type keeping struct {
+	index  map[uint64]*list.Element
+	order  *list.List
+	tokens int
+}
+
+func (keeping *keeping) has(id uint64) bool { _, isKept := keeping.index[id]; return isKept }
+
+// note takes the parts as used just now, and lets the oldest go beyond the bound.
+func (keeping *keeping) note(parts []Part, bound int) {
+	if keeping.index == nil {
+		keeping.index, keeping.order = map[uint64]*list.Element{}, list.New()
+	}
+	for _, part := range parts {
+		if at, isKept := keeping.index[part.ID]; isKept {
+			keeping.order.MoveToBack(at)
+			continue
+		}
+		keeping.index[part.ID] = keeping.order.PushBack(part)
+		keeping.tokens += part.Tokens
+	}
+	for keeping.tokens > bound && keeping.order.Len() > 0 {
+		oldest := keeping.order.Remove(keeping.order.Front()).(Part)
+		delete(keeping.index, oldest.ID)
+		keeping.tokens -= oldest.Tokens
+	}
+}
+
+// engine is what this daemon knows of one life of a replica: what it runs there, what
+// the replica said last, and how long it has kept requests waiting.
+//
+// Invariants: running and reading count this daemon's own dispatches alone; silent is
+// zero exactly while no dispatch waits for its first piece, else since when nothing has
+// come from the replica.
+type engine struct {
+	running int
+	// reading are the prompt tokens that were sent and whose answer has not begun.
+	reading int
+	kept    keeping
+	load    Load
+	loadAt  time.Duration
+	// lag is by how much first pieces came later than foreseen, smoothed, as of lagAt.
+	lag   time.Duration
+	lagAt time.Duration
+	// sent are the times of the last dispatches, for the bound of a cold replica.
+	sent   []time.Duration
+	silent time.Duration
+	waits  int
+	// shunned is until when the replica gets nothing, for a mishap of its connections;
+	// strikes are such mishaps in a row.
+	shunned time.Duration
+	strikes int
+	// vouched is when the replica last showed that it is alive.
+	vouched time.Duration
+}
+
+// lagged is what is left of the lag; it halves each half second, as queues pass.
+func (engine *engine) lagged(now time.Duration) time.Duration {
+	lag := engine.lag
+	for span := now - engine.lagAt; span > 0 && lag > time.Millisecond; span -= lagHalf {
+		lag /= 2
+	}
+	return lag
+}
+
+// Constants of the foresight. Rates are tokens in a millisecond.
+const (
+	lagHalf = 500 * time.Millisecond
+	// firstRate is what is taken for the rate at which prompts are read until answers
+	// have shown it; it is learned within the bounds.
+	firstRate = 50.0
+	leastRate = 2.0
+	mostRate  = 2000.0
+	// eachRunning is what another running request adds to a first piece, eachWaiting
+	// one that waits before the replica.
+	eachRunning = 2 * time.Millisecond
+	eachWaiting = 40 * time.Millisecond
+	// keptShare is which part of a replica's memory is taken to hold kept parts.
+	keptShare = 0.8
+)
+
+// sentWithin counts dispatches within the span before now, and forgets older ones.
+func (engine *engine) sentWithin(now, span time.Duration) int {
+	for len(engine.sent) > 0 && now-engine.sent[0] >= span {
+		engine.sent = engine.sent[1:]
+	}
+	return len(engine.sent)
+}
+
+// unread is how many tokens of the parts the replica would have to read: those from
+// the first one on that it is not taken to have kept. An owner that this daemon knows
+// nothing of is taken to keep the shared parts, as colleagues send them there too.
+func (engine *engine) unread(parts []Part, tokens int, isOwner bool) (own, shared int) {
+	sum, isGap := 0, false
+	for at, part := range parts {
+		sum += part.Tokens
+		isShared := at < len(parts)-1
+		isGap = isGap || !engine.kept.has(part.ID)
+		switch {
+		case !isGap:
+		case isShared && isOwner:
+			shared += part.Tokens / 4
+		case isShared:
+			shared += part.Tokens
+		default:
+			own += part.Tokens
+		}
+	}
+	return own + max(0, tokens-sum), shared
+}
--- /dev/null
+++ b/decide/route.go
@@ -0,0 +1,518 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"swifttiller/permit"
+	"swifttiller/session"
+	"swifttiller/settings"
+	"swifttiller/standing"
+	"swifttiller/verdict"
+)
+
+// Routed is a request that goes by host and path. It carries no ticket: each try of a
+// caller is a request of its own, and goes to one daemon.
+type Routed struct {
+	ID, Host, Path string
+	// Tokens are those of the prompt, Most the most that the answer may have; Parts are
+	// the prompt's pieces, the last one the request's own.
+	Tokens, Most int
+	Parts        []Part
+	Bytes        int
+	// Expiry is when the caller gives up, on the world's clock.
+	Expiry time.Duration
+	// Came is when the request was read.
+	Came time.Duration
+
+	// Route and Model are filled in by Direct.
+	Route *settings.Route
+	Model string
+	call  Call
+	owner uint64
+}
+
+// Direct finds the route of a request and the model that gets it, or declines. The
+// configuration is the one that the permit stands under at this moment.
+func (decider *Decider) Direct(routed *Routed) *verdict.Mishap {
+	view := decider.Holder()
+	now := decider.World.Now()
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	switch {
+	case decider.stopped:
+		return decider.decline(503, "stopping", "this daemon is about to stop", comeBackSoon)
+	case !view.Stands(now):
+		return decider.decline(503, "no_permit", "this daemon has no permit to serve; try another", comeBackSoon)
+	}
+	route := view.Tree.Route(routed.Host, routed.Path)
+	if route == nil {
+		return decider.decline(404, "no_route", "no route has this host and path", 0)
+	}
+	routed.Route, routed.Came = route, now
+	routed.Model = decider.share(route)
+	if limit := now + route.Timeout; route.Timeout > 0 && (routed.Expiry == 0 || routed.Expiry > limit) {
+		routed.Expiry = limit
+	}
+	if routed.Expiry <= now {
+		return decider.decline(503, "too_late", "the caller's time is over", 0)
+	}
+	routed.call = Call{ID: routed.ID, Model: routed.Model, Kind: route.Name, Path: routed.Path, Bytes: routed.Bytes}
+	routed.owner = ownerKey(routed)
+	decider.counts.Demanded++
+	decider.budget.count(now).fresh++
+	decider.flow(decider.demand, routed.Model).add(now, 1)
+	return nil
+}
+
+// comeBackSoon is when a request that another daemon can take is worth another try.
+const comeBackSoon = 50 * time.Millisecond
+
+// share draws a model by the route's weights.
+func (decider *Decider) share(route *settings.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Model
+	}
+	total := 0.0
+	for _, one := range route.Shares {
+		total += one.Weight
+	}
+	drawn := float64(decider.World.Draw(1<<30)) / (1 << 30) * total
+	for _, one := range route.Shares {
+		if drawn -= one.Weight; drawn < 0 {
+			return one.Model
+		}
+	}
+	return route.Shares[len(route.Shares)-1].Model
+}
+
+// ownerKey is what requests with the same shared parts have in common; zero when there
+// is nothing shared.
+func ownerKey(routed *Routed) uint64 {
+	key := uint64(0)
+	for at, part := range routed.Parts {
+		if at == len(routed.Parts)-1 {
+			break
+		}
+		key = key*0x9e3779b97f4a7c15 + part.ID + 1
+	}
+	return key
+}
+
+// Avoid are replicas that a request shall not go to (again).
+type Avoid map[string]bool
+
+type prospect struct {
+	row   *standing.Row
+	place *standing.Place
+	seat  *engine
+	// foreseen is the time to the first piece, weight what the selection goes by: the
+	// same, and the price of the way and of reading what is kept elsewhere.
+	foreseen, weight time.Duration
+	unread           int
+}
+
+// Route gives a replica to a directed request, waiting a little for one that may get
+// it if none may now. What it gives must be handed back by Release, after Begun.
+func (decider *Decider) Route(routed *Routed, avoid Avoid) (*Selection, *verdict.Mishap) {
+	until := decider.World.Now() + min(routed.Route.Target/patienceShare, mostPatience)
+	for {
+		decider.guard.Lock()
+		view := decider.Holder()
+		now := decider.World.Now()
+		if !view.Stands(now) {
+			mishap := decider.decline(503, "no_permit", "this daemon has no permit to serve; try another", comeBackSoon)
+			decider.guard.Unlock()
+			return nil, mishap
+		}
+		best, next := decider.prospects(view, routed, avoid, now)
+		if best != nil {
+			selection := decider.seat(view, routed, best, now)
+			decider.guard.Unlock()
+			return selection, nil
+		}
+		if next == 0 || now+next > until {
+			mishap := decider.decline(503, "no_replica", "no replica can serve this now", max(comeBackSoon, min(next, comeBackLater)))
+			if next == 0 {
+				mishap.ComeBack = comeBackLater
+			}
+			decider.guard.Unlock()
+			return nil, mishap
+		}
+		mine := &waiter{box: decider.World.Mailbox(), model: routed.Model, cost: 1}
+		decider.queue = append(decider.queue, mine)
+		decider.guard.Unlock()
+		mine.box.Take(min(next, until-now))
+		decider.guard.Lock()
+		decider.leave(mine)
+		decider.guard.Unlock()
+	}
+}
+
+// Ratios of a route's target: how long a request may wait before it is offered to a
+// replica. What waits longer is declined, and told when to come back.
+const (
+	patienceShare = 6
+	mostPatience  = 200 * time.Millisecond
+	comeBackLater = 500 * time.Millisecond
+)
+
+func (decider *Decider) leave(mine *waiter) {
+	for index, one := range decider.queue {
+		if one == mine {
+			decider.queue = append(decider.queue[:index:index], decider.queue[index+1:]...)
+			return
+		}
+	}
+}
+
+// prospects looks at every replica that may get the request, and gives the best; if
+// there is none, when the first one may get it, zero for not in sight.
+func (decider *Decider) prospects(view *permit.View, routed *Routed, avoid Avoid, now time.Duration) (*prospect, time.Duration) {
+	var all []prospect
+	next := time.Duration(0)
+	soon := func(span time.Duration) {
+		if span > 0 && (next == 0 || span < next) {
+			next = span
+		}
+	}
+	route := routed.Route
+	known := view.Tree.Engine(routed.Model)
+	owners := map[string]string{} // by region
+	scores := map[string]uint64{}
+	shunnedOnly := true
+	var shunned []prospect
+	for _, region := range view.Tree.Regions() {
+		one, has := view.Standings[region]
+		if !has || !route.Within(region) {
+			continue
+		}
+		index := map[string]*standing.Place{}
+		for at := range one.Places {
+			index[one.Places[at].ID] = &one.Places[at]
+		}
+		for at := range one.Rows {
+			row := &one.Rows[at]
+			place := index[row.Replica]
+			if row.Model != routed.Model || place == nil || view.Evacuated[place.Zone] || avoid[row.Replica] || denies(*row, routed.call.Kind) {
+				continue
+			}
+			if _, isPast := decider.past[row.Replica]; isPast {
+				continue
+			}
+			if !decider.opened(view, routed, row, region) {
+				continue
+			}
+			seat := decider.engine(place.ID)
+			if routed.owner != 0 {
+				if score := score(routed.owner, place.ID); owners[region] == "" || score > scores[region] {
+					owners[region], scores[region] = place.ID, score
+				}
+			}
+			if wait := decider.paced(view, known, place, seat, now); wait > 0 {
+				soon(wait)
+				continue
+			}
+			if now < seat.shunned {
+				soon(seat.shunned - now)
+				shunned = append(shunned, prospect{row: row, place: place, seat: seat})
+				continue
+			}
+			shunnedOnly = false
+			all = append(all, prospect{row: row, place: place, seat: seat})
+		}
+	}
+	if len(all) == 0 && shunnedOnly && len(shunned) > 0 {
+		// Better one in doubt than none at all.
+		all = shunned
+	}
+	var best *prospect
+	for at := range all {
+		one := &all[at]
+		decider.foresee(view, routed, one, owners[one.place.Region] == one.place.ID, now)
+		if best == nil || one.weight < best.weight {
+			best = one
+		}
+	}
+	return best, next
+}
+
+// opened tells whether the row's version may get the request: one on trial only
+// within its share, and none that plainly fails.
+func (decider *Decider) opened(view *permit.View, routed *Routed, row *standing.Row, region string) bool {
+	return !row.Trial && !row.Back
+}
+
+// paced gives how long a replica is to be left alone, as it is cold and this daemon's
+// part of what it bears then is used up; zero when it may get a request.
+//
+// Invariant: over every second, all data daemons together send a cold replica at most
+// ColdRate and one each, as each goes by an even part.
+func (decider *Decider) paced(view *permit.View, known *settings.Engine, place *standing.Place, seat *engine, now time.Duration) time.Duration {
+	if known == nil || known.ColdRate <= 0 || place.Warm >= 1 {
+		return 0
+	}
+	daemons := 0
+	for _, one := range view.Members {
+		if one.Role == session.Data {
+			daemons++
+		}
+	}
+	most := max(1, int(known.ColdRate/float64(max(1, daemons))))
+	if seat.sentWithin(now, time.Second) < most {
+		return 0
+	}
+	return time.Second - (now - seat.sent[len(seat.sent)-most])
+}
+
+// foresee fills in how long the first piece would take at the replica.
+func (decider *Decider) foresee(view *permit.View, routed *Routed, one *prospect, isOwner bool, now time.Duration) {
+	seat := one.seat
+	own, shared := seat.unread(routed.Parts, routed.Tokens, isOwner)
+	one.unread = own + shared
+	rate := decider.rate()
+	others := 0
+	if now-seat.loadAt < time.Second {
+		others = max(0, seat.load.Running-seat.running)
+	}
+	reading := time.Duration(float64(seat.reading+one.unread) / rate * float64(time.Millisecond))
+	one.foreseen = reading + time.Duration(seat.running+others)*eachRunning + seat.lagged(now)
+	if now-seat.loadAt < time.Second {
+		one.foreseen += time.Duration(seat.load.Waiting) * eachWaiting
+	}
+	one.weight = one.foreseen + time.Duration(float64(shared)/rate*float64(time.Millisecond))
+	if one.place.Region != decider.Self.Region {
+		far := view.Tree.Span("far_ms", decider.Self.Zone)
+		one.foreseen += far
+		one.weight += 2*far + time.Duration(view.Tree.Limit("far_kb_ms", decider.Self.Zone)*float64(routed.Bytes)/1024*float64(time.Millisecond))
+	}
+	if one.place.Slow {
+		one.weight += one.foreseen
+	}
+	if one.place.Warm < 1 {
+		one.weight += coldWeight
+	}
+	// Equal ones take turns.
+	one.weight += time.Duration(decider.World.Draw(int64(eachRunning)))
+}
+
+// coldWeight is what a cold replica has to be better by.
+const coldWeight = 30 * time.Millisecond
+
+// rate is the tokens that a replica reads in a millisecond, as learned.
+func (decider *Decider) rate() float64 {
+	if decider.readRate == 0 {
+		return firstRate
+	}
+	return decider.readRate
+}
+
+// engine is this daemon's knowledge of a replica.
+func (decider *Decider) engine(id string) *engine {
+	one := decider.engines[id]
+	if one == nil {
+		one = &engine{}
+		decider.engines[id] = one
+	}
+	return one
+}
+
+// seat books the request at the replica.
+func (decider *Decider) seat(view *permit.View, routed *Routed, best *prospect, now time.Duration) *Selection {
+	seat := best.seat
+	selection := &Selection{
+		Replica: best.row.Replica, Address: best.place.Address, Version: best.row.Version, Boot: best.place.Boot, Region: best.place.Region,
+		Serial: view.Serial, Cost: 1, Trial: best.row.Trial, Spill: best.place.Region != decider.Self.Region, call: &routed.call,
+		Foreseen: best.foreseen, unread: best.unread, routed: routed, sent: now, seat: seat,
+	}
+	seat.running++
+	seat.reading += best.unread
+	if seat.waits == 0 {
+		seat.silent = now
+	}
+	seat.waits++
+	seat.sent = append(seat.sent, now)
+	seat.sentWithin(now, 2*time.Second)
+	if known := view.Tree.Engine(routed.Model); known != nil && known.CacheTokens > 0 {
+		seat.kept.note(routed.Parts, int(keptShare*float64(known.CacheTokens)))
+	}
+	decider.occupy(selection, 1)
+	decider.counts.Dispatches++
+	decider.accrue(view, selection)
+	decider.judging.waiting[selection] = now
+	if selection.Trial {
+		decider.counts.Trials++
+	}
+	if selection.Spill {
+		decider.counts.Spilled++
+	}
+	return selection
+}
+
+// Heard notes that something came from the replica of a selection, and what the
+// replica says of its load, if it does.
+func (decider *Decider) Heard(selection *Selection, load *Load) {
+	now := decider.World.Now()
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	seat := selection.seat
+	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	if seat.waits > 0 {
+		seat.silent = now
+	}
+	if load != nil {
+		seat.load, seat.loadAt = *load, now
+	}
+}
+
+// Begun notes the first piece of an answer, or the end of a dispatch that had none.
+func (decider *Decider) Begun(selection *Selection, isPiece bool) {
+	now := decider.World.Now()
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	decider.begun(selection, isPiece, now)
+}
+
+func (decider *Decider) begun(selection *Selection, isPiece bool, now time.Duration) {
+	if selection.hasBegun {
+		return
+	}
+	selection.hasBegun = true
+	seat := selection.seat
+	seat.reading -= selection.unread
+	seat.waits--
+	delete(decider.judging.waiting, selection)
+	if !isPiece {
+		return
+	}
+	took := now - selection.sent
+	over := took - selection.Foreseen
+	seat.lag = max(0, seat.lagged(now)*3/4+over/4)
+	seat.lagAt = now
+	if selection.unread > learnTokens && seat.reading == 0 && !selection.Spill {
+		// Alone at its replica, as far as this daemon knows: the prompt took the time.
+		sample := float64(selection.unread) / (float64(took) / float64(time.Millisecond))
+		decider.readRate = math.Min(mostRate, math.Max(leastRate, decider.rate()+(sample-decider.rate())/16))
+	}
+}
+
+// learnTokens is how long a prompt must be for its first piece to tell the rate.
+const learnTokens = 2000
+
+// Suspect tells whether the replica of a selection that waits for its first piece has
+// been silent for so long that another should get requests; it then gets none for a
+// while.
+func (decider *Decider) Suspect(selection *Selection) bool {
+	now := decider.World.Now()
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	seat := selection.seat
+	if selection.hasBegun || now-max(seat.silent, seat.vouched) < silence(selection) {
+		return false
+	}
+	decider.shun(seat, now)
+	return true
+}
+
+// silence is how long a replica may say nothing at all while requests wait for it.
+func silence(selection *Selection) time.Duration {
+	return min(leastSilence+2*selection.Foreseen, mostSilence)
+}
+
+const (
+	leastSilence = 350 * time.Millisecond
+	mostSilence  = 1500 * time.Millisecond
+	firstShun    = 300 * time.Millisecond
+	mostShun     = 3 * time.Second
+)
+
+// shun leaves a replica alone for a while, longer each time in a row, never for good.
+func (decider *Decider) shun(seat *engine, now time.Duration) {
+	if now < seat.shunned {
+		return
+	}
+	seat.shunned = now + min(firstShun<<min(seat.strikes, 8), mostShun)
+	seat.strikes++
+}
+
+// Unseat ends a routed selection: what became of it, and the time to the first piece.
+func (decider *Decider) Unseat(selection *Selection, mishap *verdict.Mishap, first time.Duration) {
+	now := decider.World.Now()
+	decider.guard.Lock()
+	decider.begun(selection, false, now)
+	selection.seat.running--
+	if mishap != nil {
+		switch mishap.Code {
+		case "replica_unreached", "replica_cut", "cut":
+			decider.shun(selection.seat, now)
+		case "replica_declined":
+			decider.shun(selection.seat, now)
+		}
+	}
+	decider.guard.Unlock()
+	decider.Release(selection, mishap, first)
+}
+
+// Overdue is by when a first piece should have come, counted from the dispatch; after
+// that a request that may run again is worth another replica.
+func (decider *Decider) Overdue(selection *Selection) time.Duration {
+	return silence(selection)
+}
+
+// Doors gives the daemons that callers may go to, those in the zone first, then those
+// in the region, then the rest; none while this daemon has no permit.
+func (decider *Decider) Doors(region, zone string) []session.Member {
+	view := decider.Holder()
+	if !view.Stands(decider.World.Now()) {
+		return nil
+	}
+	var out []session.Member
+	for _, one := range view.Members {
+		if one.Role == session.Data && !one.Leaving && one.Door != "" {
+			out = append(out, one)
+		}
+	}
+	distance := func(one session.Member) int {
+		switch {
+		case one.Zone == zone:
+			return 0
+		case one.Region == region:
+			return 1
+		}
+		return 2
+	}
+	sort.SliceStable(out, func(a, b int) bool { return distance(out[a]) < distance(out[b]) })
+	near := 0
+	for near < len(out) && distance(out[near]) == distance(out[0]) {
+		near++
+	}
+	return out[:near]
+}
+
+// Sweep forgets engines of replicas that no standing shows.
+func (decider *Decider) Sweep() {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	view := decider.Holder()
+	if view.Tree == nil || len(view.Standings) < len(view.Tree.Regions()) {
+		return
+	}
+	shown := map[string]bool{}
+	for _, one := range view.Standings {
+		for _, place := range one.Places {
+			shown[place.ID] = true
+		}
+	}
+	for id, one := range decider.engines {
+		if !shown[id] && one.running == 0 {
+			delete(decider.engines, id)
+		}
+	}
+}
+
+// String says where a selection goes, for logs.
+func (selection *Selection) String() string {
+	return fmt.Sprintf("%s@%s foreseen %v", selection.Replica, selection.Address, selection.Foreseen)
+}
--- a/execute/execute.go
+++ b/execute/execute.go
@@ -72,6 +72,8 @@
 	World   loop.World
 	Decider *decide.Decider
 	Client  replica.Client
+	// Relayer, if set, takes routed requests.
+	Relayer Relayer
 	Holder  func() *permit.View
 	Log     *zap.Logger
 	// Traced, if set, is given every ended request.
@@ -248,7 +250,7 @@
 		executor.next = (executor.next + 1) % keptRecords
 	}
 	executor.guard.Unlock()
-	if executor.Log != nil {
+	if executor.Log != nil && executor.Log.Core().Enabled(zap.InfoLevel) {
 		fields := []zap.Field{zap.String("request", record.ID), zap.String("model", record.Model), zap.String("kind", record.Kind),
 			zap.String("verdict", record.Verdict), zap.String("code", record.Code), zap.Duration("took", record.Took), zap.Duration("first", record.First), zap.Int("events", record.Events)}
 		if count := len(record.Dispatches); count > 0 {
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -318,7 +318,7 @@
 }
 
 // List asks the stand-in platform.
-func (list *list) List(region string, patience time.Duration) ([]listing.Listed, error) {
+func (list *list) List(region string, _ []string, patience time.Duration) ([]listing.Listed, error) {
 	loop.Sleep(list.node, 2*time.Millisecond)
 	status, body := list.park.Platform.List(strings.TrimPrefix(region, "http://"))
 	listed, err := listing.Answered(status, "", body)
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -16,6 +16,11 @@
 type Listed struct {
 	ID, Address, Zone string
 	Leaving           bool
+	// Model and Version are what the replica holds from its start on, where the platform
+	// says so; empty where probes tell.
+	Model, Version string
+	// Cold is how much longer it stays cold, as the list has it.
+	Cold time.Duration
 }
 
 // Limited is the platform's word to come back later.
@@ -28,14 +33,15 @@
 
 // Client asks for a list.
 type Client interface {
-	List(address string, patience time.Duration) ([]Listed, error)
+	// List asks for the replicas of the zones; a platform may answer with more.
+	List(address string, zones []string, patience time.Duration) ([]Listed, error)
 }
 
 // HTTP is the real client.
 type HTTP struct{}
 
 // List asks once.
-func (HTTP) List(address string, patience time.Duration) ([]Listed, error) {
+func (HTTP) List(address string, _ []string, patience time.Duration) ([]Listed, error) {
 	ask, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(ask)
 	defer fasthttp.ReleaseResponse(answer)
--- /dev/null
+++ b/replica/relay.go
@@ -0,0 +1,378 @@
+package replica
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"swifttiller/loop"
+	"swifttiller/verdict"
+)
+
+// Field is one header of a message.
+type Field struct{ Name, Value []byte }
+
+// Ask is a routed request on its way to a replica. What the caller sent is passed on
+// byte by byte.
+type Ask struct {
+	// Replica is the life of the replica that it is meant for; no other runs it.
+	Replica, Address string
+	ID               string
+	Method, Host     []byte
+	URI              []byte
+	Header           []Field
+	Body             []byte
+	// Left is how long the caller still waits; the replica stops its work then.
+	Left time.Duration
+	// Urgency is the rank, 0 first. After is the id of the last event that the caller
+	// has, empty from the beginning. Version, if set, is the only one that may run it.
+	Urgency int
+	After   string
+	Version string
+	// Gate is asked at the last moment before bytes go out.
+	Gate func() *verdict.Mishap
+	// Bind, if set, is told how to abort from outside; nil when nothing is under way.
+	Bind func(abort func())
+	// Connect bounds how long a new connection may take, Unheard how long sent bytes
+	// may stay without the other machine's word of them.
+	Connect, Unheard time.Duration
+	// Silent, if set, is asked whenever the replica has said nothing for another Span,
+	// and whether the answer has begun; true gives the request up there.
+	Silent func(hasBegun bool) bool
+	Span   time.Duration
+}
+
+// ErrSilent is how a request ends that was given up at a silent replica.
+var ErrSilent = errors.New("the replica is silent")
+
+// Head is the beginning of a replica's answer, as a dialect reads it.
+type Head struct {
+	Status int
+	// Foreign answers belong to another request, and are passed over.
+	Foreign bool
+	// NotRun is the replica's own word that it did not run the request; Elsewhere that
+	// another replica has its address by now.
+	NotRun, Elsewhere bool
+	// Unsound says why the answer is none that may be passed on; empty when it may.
+	Unsound string
+	// Running, Waiting and Slots are the replica's load, if HasLoad.
+	HasLoad                 bool
+	Running, Waiting, Slots int
+	// Keep is how long the replica keeps the connection, zero when it does not say.
+	Keep   time.Duration
+	Events bool // the body is a stream of events
+}
+
+// Dialect puts routed requests into a protocol's words, and reads its answers. It
+// translates and decides nothing.
+type Dialect interface {
+	// Write fills in what goes to the replica.
+	Write(ask *Ask, into *fasthttp.Request)
+	// Read reads the head of an answer to the ask.
+	Read(ask *Ask, answer *fasthttp.Response) Head
+	// Probe asks a replica how it does.
+	Probe(target Target, patience time.Duration) (Vitals, error)
+}
+
+// Target is a replica to be probed.
+type Target struct {
+	ID, Address, Path string
+}
+
+// Relay sends routed requests to replicas over connections that are kept.
+//
+// Invariants: a connection lies in idle only if every answer on it so far ended
+// cleanly and was read to its end. One that has carried a request whose answer did not
+// end so is closed, so that late bytes reach nobody.
+type Relay struct {
+	World   loop.World
+	Dialect Dialect
+	guard   sync.Mutex
+	idle    map[string][]*line
+	// Opened counts new connections.
+	Opened uint64
+}
+
+// Answer is an answer under way. Next gives what can be passed on, whole events where
+// it is a stream of them; io.EOF comes only after a clean end of the whole body.
+type Answer struct {
+	Head
+	Header *fasthttp.ResponseHeader
+	// Length is that of the body, below zero when it is not told beforehand.
+	Length int
+
+	relay   *Relay
+	line    *line
+	answer  *fasthttp.Response
+	ask     *Ask
+	expiry  time.Duration
+	body    io.Reader
+	buffer  []byte
+	held    []byte // the beginning of an event that is not whole yet
+	ended   bool
+	closing bool
+	closed  sync.Once
+}
+
+// idleRoutedMost bounds how many connections wait per replica.
+const idleRoutedMost = 32
+
+func (relay *Relay) take(ask *Ask) (*line, bool, error) {
+	now := relay.World.Now()
+	for {
+		relay.guard.Lock()
+		list := relay.idle[ask.Address]
+		if len(list) == 0 {
+			relay.guard.Unlock()
+			break
+		}
+		last := list[len(list)-1]
+		relay.idle[ask.Address] = list[:len(list)-1]
+		relay.guard.Unlock()
+		if now < last.until && last.boot == ask.Replica && last.alive() {
+			return last, true, nil
+		}
+		last.Close()
+	}
+	dialer := net.Dialer{Timeout: ask.Connect, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ask.Unheard/time.Millisecond))
+		})
+	}}
+	conn, err := dialer.Dial("tcp", ask.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	relay.guard.Lock()
+	relay.Opened++
+	relay.guard.Unlock()
+	return &line{Conn: conn, reader: bufio.NewReaderSize(conn, 4<<10), boot: ask.Replica}, false, nil
+}
+
+func (relay *Relay) give(address string, one *line, keep time.Duration) {
+	now := relay.World.Now()
+	if keep <= 0 {
+		keep = idleSpan
+	}
+	one.until = now + keep*3/4
+	relay.guard.Lock()
+	defer relay.guard.Unlock()
+	if relay.idle == nil {
+		relay.idle = map[string][]*line{}
+	}
+	if len(relay.idle[address]) >= idleRoutedMost {
+		one.Close()
+		return
+	}
+	relay.idle[address] = append(relay.idle[address], one)
+}
+
+// Sweep closes connections that have been idle for too long.
+func (relay *Relay) Sweep() {
+	now := relay.World.Now()
+	relay.guard.Lock()
+	defer relay.guard.Unlock()
+	for address, list := range relay.idle {
+		kept := list[:0]
+		for _, one := range list {
+			if now < one.until {
+				kept = append(kept, one)
+			} else {
+				one.Close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(relay.idle, address)
+		} else {
+			relay.idle[address] = kept
+		}
+	}
+}
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
+
+// Send sends the request and waits for the head of its answer. A mishap of NotRun
+// means that no replica has run it, or will.
+func (relay *Relay) Send(ask *Ask) (*Answer, *verdict.Mishap) {
+	one, _, err := relay.take(ask)
+	if err != nil {
+		return nil, &verdict.Mishap{Verdict: verdict.NotRun, Code: "replica_unreached", Message: "the replica can't be reached", Status: 503, Cause: err}
+	}
+	if mishap := ask.Gate(); mishap != nil {
+		relay.give(ask.Address, one, 0)
+		return nil, mishap
+	}
+	if ask.Bind != nil {
+		ask.Bind(func() { one.Close() })
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	relay.Dialect.Write(ask, request)
+	_ = one.SetDeadline(time.Now().Add(ask.Left))
+	cut := func(code string, err error) (*Answer, *verdict.Mishap) {
+		if ask.Bind != nil {
+			ask.Bind(nil)
+		}
+		one.Close()
+		return nil, &verdict.Mishap{Verdict: verdict.MayHaveRun, Code: code, Message: "the replica may have run the request", Status: 502, Cause: err}
+	}
+	writer := writers.Get().(*bufio.Writer)
+	writer.Reset(one)
+	err = request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	writer.Reset(nil)
+	writers.Put(writer)
+	if err != nil {
+		return cut("replica_cut", err)
+	}
+	expiry := relay.World.Now() + ask.Left
+	for passed := 0; ; passed++ {
+		if err := relay.wait(ask, one, expiry, false); err != nil {
+			switch {
+			case errors.Is(err, ErrSilent):
+				return cut("replica_silent", err)
+			case isExpired(err):
+				return cut("expired", err)
+			}
+			return cut("replica_cut", err)
+		}
+		answer := &fasthttp.Response{StreamBody: true}
+		if err := answer.ReadLimitBody(one.reader, 0); err != nil {
+			if isExpired(err) {
+				return cut("expired", err)
+			}
+			return cut("replica_cut", err)
+		}
+		head := relay.Dialect.Read(ask, answer)
+		if head.Foreign {
+			// A second answer to an earlier request, in the place of this one's.
+			if _, err := io.Copy(io.Discard, answer.BodyStream()); err != nil || passed >= 2 {
+				return cut("replica_garbled", err)
+			}
+			continue
+		}
+		out := &Answer{Head: head, Header: &answer.Header, Length: answer.Header.ContentLength(), relay: relay, line: one, answer: answer, ask: ask, expiry: expiry, body: answer.BodyStream(), closing: answer.ConnectionClose()}
+		if out.body == nil {
+			out.body = bytes.NewReader(nil)
+		}
+		if head.Unsound != "" {
+			out.Close()
+			return nil, &verdict.Mishap{Verdict: verdict.MayHaveRun, Code: "replica_garbled", Message: "the replica's answer is no answer: " + head.Unsound, Status: 502}
+		}
+		if head.NotRun || head.Elsewhere {
+			if _, err := io.Copy(io.Discard, io.LimitReader(out.body, 64<<10)); err == nil {
+				out.ended = true
+			}
+			out.Close()
+			if head.Elsewhere {
+				return nil, Anew()
+			}
+			return nil, &verdict.Mishap{Verdict: verdict.NotRun, Code: "replica_declined", Message: fmt.Sprintf("the replica answered %d without running it", head.Status), Status: 503}
+		}
+		return out, nil
+	}
+}
+
+// wait waits for a byte to be there, asking now and then whether to go on.
+func (relay *Relay) wait(ask *Ask, one *line, expiry time.Duration, hasBegun bool) error {
+	for one.reader.Buffered() == 0 {
+		left := expiry - relay.World.Now()
+		if left <= 0 {
+			return os.ErrDeadlineExceeded
+		}
+		if ask.Silent != nil && ask.Span > 0 {
+			left = min(left, ask.Span)
+		}
+		_ = one.SetReadDeadline(time.Now().Add(left))
+		if _, err := one.reader.Peek(1); err == nil {
+			break
+		} else if !isExpired(err) {
+			return err
+		}
+		if ask.Silent != nil && ask.Silent(hasBegun) {
+			return ErrSilent
+		}
+	}
+	_ = one.SetReadDeadline(time.Now().Add(expiry - relay.World.Now()))
+	return nil
+}
+
+// isExpired tells whether the caller's own time ended a call.
+func isExpired(err error) bool {
+	var trouble net.Error
+	return errors.As(err, &trouble) && trouble.Timeout() && !errors.Is(err, syscall.ETIMEDOUT)
+}
+
+// Next gives the next bytes to pass on. They are valid until the next call.
+func (answer *Answer) Next() ([]byte, error) {
+	if answer.buffer == nil {
+		answer.buffer = make([]byte, 2<<10)
+	}
+	for {
+		if answer.ended {
+			if len(answer.held) > 0 {
+				return nil, ErrCut // the body ended within an event
+			}
+			return nil, io.EOF
+		}
+		if err := answer.relay.wait(answer.ask, answer.line, answer.expiry, true); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, fmt.Errorf("%w: %w", ErrCut, err)
+		}
+		count, err := answer.body.Read(answer.buffer)
+		if err == io.EOF {
+			answer.ended = true
+		} else if err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrCut, err)
+		}
+		if count == 0 {
+			continue
+		}
+		if !answer.Events {
+			return answer.buffer[:count], nil
+		}
+		whole := answer.buffer[:count]
+		if len(answer.held) > 0 {
+			whole = append(answer.held, whole...)
+		}
+		end := bytes.LastIndex(whole, []byte("\n\n"))
+		if at := bytes.LastIndex(whole, []byte("\r\n\r\n")); at >= 0 && at+2 > end {
+			end = at + 2
+		}
+		if end < 0 {
+			answer.held = append([]byte{}, whole...)
+			continue
+		}
+		answer.held = append([]byte{}, whole[end+2:]...)
+		return whole[:end+2], nil
+	}
+}
+
+// Close ends the answer. The connection is kept only after a clean end.
+func (answer *Answer) Close() {
+	answer.closed.Do(func() {
+		if answer.ask.Bind != nil {
+			answer.ask.Bind(nil)
+		}
+		if answer.ended && !answer.closing && len(answer.held) == 0 && answer.line.reader.Buffered() == 0 {
+			_ = answer.line.SetDeadline(time.Time{})
+			answer.relay.give(answer.ask.Address, answer.line, answer.Keep)
+			return
+		}
+		answer.line.Close()
+	})
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -85,6 +85,8 @@
 	Leaving bool
 	Held    map[string]string
 	Load    float64
+	// Cold is how much longer the replica stays cold, if it says so.
+	Cold time.Duration
 }
 
 // Client is what the product knows of replicas.
@@ -142,6 +144,7 @@
 	net.Conn
 	reader *bufio.Reader
 	since  time.Duration
+	until  time.Duration // of a relay's: when it is too old to be used
 	boot   string
 }
 
--- a/serve/command.go
+++ b/serve/command.go
@@ -19,6 +19,8 @@
 type Daemon struct {
 	Services *rpc.Server
 	App      *fiber.App
+	// More are further places where it is asked.
+	More []Endpoint
 	// Run starts the loops; Stop is the planned stop and tells whether all was
 	// finished; Closed, if set, is the last thing done.
 	Run    func()
@@ -70,7 +72,7 @@
 	if daemon.Closed != nil {
 		defer daemon.Closed()
 	}
-	closing, err := process.Listen(daemon.Services, daemon.App)
+	closing, err := process.Listen(daemon.Services, daemon.App, daemon.More...)
 	if err != nil {
 		process.Log.Error("can't listen", zap.Error(err))
 		return subcommands.ExitFailure
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -107,26 +107,45 @@
 	}
 }
 
-// Listen serves the wire and HTTP; it gives the function that closes both.
-func (process *Process) Listen(server *rpc.Server, app *fiber.App) (func(), error) {
+// Endpoint is one more place where a daemon is asked.
+type Endpoint struct {
+	Address string
+	App     *fiber.App
+}
+
+// Listen serves the wire, HTTP and whatever more there is; it gives the function that
+// closes all.
+func (process *Process) Listen(server *rpc.Server, app *fiber.App, more ...Endpoint) (func(), error) {
 	listener, err := net.Listen("tcp", process.Wire)
 	if err != nil {
 		return nil, err
 	}
-	front, err := net.Listen("tcp", process.HTTP)
-	if err != nil {
-		listener.Close()
-		return nil, err
+	endpoints := append([]Endpoint{{process.HTTP, app}}, more...)
+	var fronts []net.Listener
+	for _, one := range endpoints {
+		front, err := net.Listen("tcp", one.Address)
+		if err != nil {
+			listener.Close()
+			for _, opened := range fronts {
+				opened.Close()
+			}
+			return nil, err
+		}
+		fronts = append(fronts, front)
 	}
 	process.World.Go(func() { wire.Serve(process.World, listener, server) })
-	process.World.Go(func() {
-		if err := app.Listener(front); err != nil && !process.World.Ended() {
-			process.Log.Error("the HTTP listener ended", zap.Error(err))
-		}
-	})
+	for index, one := range endpoints {
+		process.World.Go(func() {
+			if err := one.App.Listener(fronts[index]); err != nil && !process.World.Ended() {
+				process.Log.Error("an HTTP listener ended", zap.String("address", one.Address), zap.Error(err))
+			}
+		})
+	}
 	process.Log.Info("listening", zap.String("wire", process.Wire), zap.String("http", process.HTTP))
 	return func() {
-		_ = app.ShutdownWithTimeout(time.Second)
+		for _, one := range endpoints {
+			_ = one.App.ShutdownWithTimeout(time.Second)
+		}
 		listener.Close()
 	}, nil
 }
--- a/session/session.go
+++ b/session/session.go
@@ -31,6 +31,8 @@
 	Zone        string `json:"zone"`
 	Wire        string `json:"wire"`
 	HTTP        string `json:"http"`
+	// Door is where callers of routes come in, if that is elsewhere than HTTP.
+	Door string `json:"door,omitempty"`
 	// Acceptor is the identity made with a control daemon's disk, if it has one.
 	Acceptor string `json:"acceptor,omitempty"`
 	// Uptime is the member's own, at its last beat; tickets expire by it.
--- a/settings/live.go
+++ b/settings/live.go
@@ -49,7 +49,7 @@
 // Live are a process's settings as they stand.
 //
 // Invariants: whatever Now gives was checked as a whole; name, region, zone, wire,
-// http and data never change in a process's life, as its colleagues, its
+// http, door and data never change in a process's life, as its colleagues, its
 // listeners and its disk go by them.
 type Live struct {
 	LiveOptions
@@ -84,7 +84,7 @@
 	}
 	old := live.Now()
 	next := old
-	for _, name := range []string{"name", "region", "zone", "wire", "http", "data"} {
+	for _, name := range []string{"name", "region", "zone", "wire", "http", "door", "data"} {
 		if *old.place(name) != *read.place(name) {
 			out.Restart = append(out.Restart, name)
 		}
--- a/settings/process.go
+++ b/settings/process.go
@@ -46,6 +46,7 @@
 	Zone   string
 	Wire   string
 	HTTP   string
+	Door   string // where callers of routes come in, if that is elsewhere than HTTP
 	Seeds  []string
 	Data   string
 	Log    string
@@ -67,6 +68,7 @@
 	set.String("zone", "", "the zone this daemon is in")
 	set.String("wire", "", "IP:port for the system's own calls")
 	set.String("http", "", "IP:port for callers and operators")
+	set.String("door", "", "IP:port for callers of routes, if elsewhere than http")
 	set.String("seeds", "", "wire addresses of a few control daemons, by comma")
 	set.String("data", "", "data folder (control daemons with a disk only)")
 	set.String("log", "", "debug, info, warn or error (default info)")
@@ -110,7 +112,7 @@
 func (process *Process) place(name string) *string {
 	return map[string]*string{
 		"name": &process.Name, "region": &process.Region, "zone": &process.Zone, "wire": &process.Wire,
-		"http": &process.HTTP, "data": &process.Data, "log": &process.Log, "traces": &process.Traces,
+		"http": &process.HTTP, "door": &process.Door, "data": &process.Data, "log": &process.Log, "traces": &process.Traces,
 	}[name]
 }
 
@@ -170,6 +172,9 @@
 	}
 	address("$.wire", process.Wire)
 	address("$.http", process.HTTP)
+	if process.Door != "" {
+		address("$.door", process.Door)
+	}
 	if len(process.Seeds) == 0 {
 		problems.add("$.seeds", "at least one is needed")
 	}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -45,6 +45,8 @@
 	"ready_share":        {0.75, 0.01, 1, "share of a region's replicas that must be ready before the route moves"},
 	"prompt_unit_bytes":  {8192, 64, 1048576, "prompt bytes per unit of cost"},
 	"answer_unit_tokens": {512, 1, 1048576, "answer tokens per unit of cost"},
+	"far_ms":             {80, 0, 10000, "what the way to another region adds to a first piece"},
+	"far_kb_ms":          {10, 0, 10000, "what a KiB sent to another region is weighed as, in ms of waiting"},
 	"affinity_slack":     {1.5, 0, 100, "how far above the average load a prompt's own replica may go; 0: prompts have no own replica"},
 }
 
--- a/standing/deal.go
+++ b/standing/deal.go
@@ -45,6 +45,9 @@
 	}
 	for index := range out.Places {
 		place := &out.Places[index]
+		if len(models[place.ID]) > 0 && input.Tree.Engine(models[place.ID][0]) != nil {
+			continue
+		}
 		weights := map[string]float64{}
 		var near []string
 		var lend float64
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -115,6 +116,8 @@
 	// Load is what the replica says of itself, in shares; below zero when it
 	// says nothing.
 	Load float64
+	// Cold is what list and probes tell of a replica whose model has an engine.
+	Cold bool
 }
 
 // Route is where a model's traffic goes in a region.
@@ -300,7 +303,8 @@
 			if zone, known := input.Tree.RegionOf(replica.Zone); !known || zone != input.Region {
 				continue
 			}
-			if _, placed := input.Tree.Placement(model, replica.Zone); !placed {
+			placement, placed := input.Tree.Placement(model, replica.Zone)
+			if !placed {
 				continue // the group that holds it is another zone of the region
 			}
 			add := func(version string, trial, back bool) {
@@ -309,6 +313,14 @@
 				}
 				rows = append(rows, Row{Replica: replica.ID, Model: model, Version: version, Trial: trial, Back: back, Deny: denied(replica.ID, model, version, recent)})
 			}
+			if placement.Version == "any" {
+				for _, held := range slices.Sorted(maps.Keys(replica.Held)) {
+					if version, isModel := strings.CutPrefix(held, model+"/"); isModel {
+						add(version, false, false)
+					}
+				}
+				continue
+			}
 			add(route.Version, false, false)
 			if route.Watched && !route.Bears(route.Previous) {
 				add(route.Previous, false, true)
@@ -429,6 +441,18 @@
 	return out, paces
 }
 
+// engined tells whether the replica holds a model with an engine. Data daemons pace
+// what they send to such a one by themselves: there are no credits for it.
+func engined(input Input, replica Replica) bool {
+	for held := range replica.Held {
+		model, _, _ := strings.Cut(held, "/")
+		if input.Tree.Engine(model) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // place says what a replica may bear now; before is how warm it was, and pace at
 // which pace it warms.
 func place(input Input, replica Replica, recent map[Outcome]Outcome, slow bool, before, pace float64) Place {
@@ -470,6 +494,13 @@
 		}
 		out.Warm = max(coldShare, min(1, out.Warm+(1-coldShare)*step))
 	}
+	if engined(input, replica) {
+		out.Warm, out.Pace, out.Capacity = 1, 0, whole
+		if replica.Cold {
+			out.Warm = coldShare
+		}
+		return out
+	}
 	share := out.Warm
 	if slow {
 		share /= 2
