--- a/settings/process.go
+++ b/settings/process.go
@@ -50,11 +50,13 @@
 	Data   string
 	Log    string
 	Grace  int // seconds that a planned stop may take
+	// First says that the whole system starts for the first time, on empty disks.
+	First  bool
 	Traces string
 }
 
 var (
-	nameShape = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	nameShape = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 	levels    = map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
 )
 
@@ -137,6 +139,10 @@
 			*place = value.Str
 		case place != nil:
 			problems.add(path, "must be a string")
+		case key.Str == "first" && value.IsBool():
+			process.First = value.Bool()
+		case key.Str == "first":
+			problems.add(path, "must be a boolean")
 		case key.Str == "grace" && value.Type == gjson.Number:
 			process.Grace = int(value.Int())
 		case key.Str == "grace":
@@ -154,10 +160,16 @@
 	})
 }
 
+// Check gives every problem of the settings, at its path in a settings file of ours.
+func (process *Process) Check() (problems Problems) {
+	process.check(&problems)
+	return problems
+}
+
 func (process *Process) check(problems *Problems) {
 	for _, name := range []string{"name", "region", "zone"} {
 		if value := *process.place(name); !nameShape.MatchString(value) {
-			problems.add("$."+name, "%q is no name: lower-case letters, digits, dots and dashes", value)
+			problems.add("$."+name, "%q is no name: letters, digits, dots, underscores and dashes", value)
 		}
 	}
 	address := func(path, value string) {
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -1,7 +1,12 @@
 package settings
 
 import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -85,14 +90,7 @@
 // Route is the one with the host whose prefix begins the path and is the longest;
 // nil when there is none. The host is compared without its port and letter case.
 func (tree *Tree) Route(host, path string) *Route {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
-		host = host[:at]
-	}
-	list := tree.routes[host]
-	if list == nil {
-		list = tree.routes[strings.ToLower(host)]
-	}
-	for _, route := range list {
+	for _, route := range tree.routes[hostOf(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
@@ -112,11 +110,19 @@
 // Label is the operator's own number of the document, zero when it has none.
 func (tree *Tree) Label() uint64 { return tree.label }
 
+// hostOf is a host as routes are looked up by it: without port and letter case.
+func hostOf(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
 // index puts the routes of each host in the order in which they are looked at.
 func (tree *Tree) index(routes []*Route) {
 	tree.routes = map[string][]*Route{}
 	for _, route := range routes {
-		host := strings.ToLower(route.Host)
+		host := hostOf(route.Host)
 		tree.routes[host] = append(tree.routes[host], route)
 	}
 	for _, list := range tree.routes {
@@ -124,41 +130,193 @@
 	}
 }
 
+// shape is what a key may hold. The kind True stands for booleans, JSON for lists;
+// least and most bound numbers.
+type shape struct {
+	kind              gjson.Type
+	least, most       float64
+	isWhole, isNeeded bool
+}
+
+const (
+	// No span is as short as nothing or longer than a day, in milliseconds.
+	shortest, longest = 0.001, 86400000.0
+	// most is the highest of numbers that have no bound of their own.
+	most = 1 << 40
+)
+
+var (
+	routeShapes = map[string]shape{
+		"name": {kind: gjson.String, isNeeded: true}, "host": {kind: gjson.String, isNeeded: true}, "prefix": {kind: gjson.String, isNeeded: true}, "kind": {kind: gjson.String, isNeeded: true},
+		"timeout_ms": {kind: gjson.Number, least: shortest, most: longest, isNeeded: true}, "target_ms": {kind: gjson.Number, most: longest}, "gap_ms": {kind: gjson.Number, most: longest},
+		"urgency": {kind: gjson.Number, most: 9, isWhole: true}, "tries": {kind: gjson.Number, least: 1, most: 1000, isWhole: true}, "resume": {kind: gjson.True},
+		"homes": {kind: gjson.JSON}, "shares": {kind: gjson.JSON, isNeeded: true},
+	}
+	shareShapes  = map[string]shape{"model": {kind: gjson.String, isNeeded: true}, "weight": {kind: gjson.Number, most: most, isNeeded: true}}
+	engineShapes = map[string]shape{
+		"probe_path": {kind: gjson.String, isNeeded: true}, "conn_cap": {kind: gjson.Number, most: most, isWhole: true}, "cold_ms": {kind: gjson.Number, most: longest}, "cold_per_s": {kind: gjson.Number, most: most},
+		"berths": {kind: gjson.Number, least: 1, most: 100000, isWhole: true}, "cache_tokens": {kind: gjson.Number, most: most, isWhole: true}, "spacing": {kind: gjson.Number, most: most, isWhole: true},
+	}
+	intakeShapes = map[string]shape{
+		"header_bytes": {kind: gjson.Number, least: 1, most: most, isWhole: true}, "body_bytes": {kind: gjson.Number, least: 1, most: most, isWhole: true},
+		"header_ms": {kind: gjson.Number, least: shortest, most: longest}, "idle_ms": {kind: gjson.Number, least: shortest, most: longest},
+	}
+	kindNames = map[gjson.Type]string{gjson.String: "string", gjson.Number: "number", gjson.True: "boolean", gjson.JSON: "list"}
+)
+
+// fields checks an object's keys and gives those that hold what they may.
+func fields(object gjson.Result, path string, shapes map[string]shape, problems *Problems) map[string]gjson.Result {
+	good, told := map[string]gjson.Result{}, map[string]bool{}
+	each(object, path, problems, func(key string, value gjson.Result, path string) {
+		shape, known := shapes[key]
+		told[key] = true
+		fits := value.Type == shape.kind
+		switch shape.kind {
+		case gjson.True:
+			fits = value.IsBool()
+		case gjson.JSON:
+			fits = value.IsArray()
+		}
+		switch {
+		case !known:
+			problems.add(path, "is unknown")
+		case !fits:
+			problems.add(path, "must be a %s", kindNames[shape.kind])
+		case shape.kind == gjson.Number && (value.Num < shape.least || value.Num > shape.most):
+			problems.add(path, "%v is not within %v to %v", value.Num, shape.least, shape.most)
+		case shape.isWhole && value.Num != math.Trunc(value.Num):
+			problems.add(path, "%v is no whole number", value.Num)
+		default:
+			good[key] = value
+		}
+	})
+	if !object.IsObject() {
+		return good
+	}
+	for _, key := range slices.Sorted(maps.Keys(shapes)) {
+		if shapes[key].isNeeded && !told[key] {
+			problems.add(path+"."+key, "is needed")
+		}
+	}
+	return good
+}
+
+func span(value gjson.Result) time.Duration {
+	return time.Duration(value.Num * float64(time.Millisecond))
+}
+
 // sections reads what stands beside the levels; false when the key is none of them.
 func (tree *Tree) sections(key string, value gjson.Result, path string, problems *Problems) bool {
-	span := func(name string) time.Duration {
-		return time.Duration(value.Get(name).Num * float64(time.Millisecond))
-	}
 	switch key {
 	case "label":
-		tree.label = value.Uint()
+		label, err := strconv.ParseUint(value.Raw, 10, 64)
+		if err != nil {
+			problems.add(path, "must be a whole number, 0 or above")
+		}
+		tree.label = label
 	case "origin": // what the document was made from, kept as it is
 	case "routes":
+		if !value.IsArray() {
+			problems.add(path, "must be a list")
+			break
+		}
 		var routes []*Route
-		for _, one := range value.Array() {
-			value = one
-			route := &Route{Name: one.Get("name").String(), Host: one.Get("host").String(), Prefix: one.Get("prefix").String(), Kind: one.Get("kind").String(),
-				Timeout: span("timeout_ms"), Target: span("target_ms"), Gap: span("gap_ms"), Urgency: int(one.Get("urgency").Int()), Tries: int(one.Get("tries").Int()), Resume: one.Get("resume").Bool()}
-			for _, home := range one.Get("homes").Array() {
-				route.Homes = append(route.Homes, home.String())
-			}
-			for _, share := range one.Get("shares").Array() {
-				route.Shares = append(route.Shares, Share{Model: share.Get("model").String(), Weight: share.Get("weight").Num})
-			}
+		taken := map[[2]string]int{}
+		for index, one := range value.Array() {
+			path := path + "." + strconv.Itoa(index)
+			route := readRoute(one, path, problems)
 			routes = append(routes, route)
+			place := [2]string{hostOf(route.Host), route.Prefix}
+			if first, isTaken := taken[place]; isTaken && route.Host != "" && route.Prefix != "" {
+				problems.add(path, "has the host and prefix of routes.%d", first)
+			} else {
+				taken[place] = index
+			}
 		}
+		tree.listed = routes
 		tree.index(routes)
 	case "engines":
 		tree.engines = map[string]*Engine{}
 		each(value, path, problems, func(model string, one gjson.Result, path string) {
-			value = one
-			tree.engines[model] = &Engine{ProbePath: one.Get("probe_path").String(), ConnCap: int(one.Get("conn_cap").Int()), Cold: span("cold_ms"), ColdRate: one.Get("cold_per_s").Num,
-				Berths: int(one.Get("berths").Int()), CacheTokens: int(one.Get("cache_tokens").Int()), Spacing: int(one.Get("spacing").Int())}
+			shaped(model, path, problems)
+			get := fields(one, path, engineShapes, problems)
+			if probe, known := get["probe_path"]; known && !strings.HasPrefix(probe.Str, "/") {
+				problems.add(path+".probe_path", "must begin with a slash")
+			}
+			tree.engines[model] = &Engine{ProbePath: get["probe_path"].Str, ConnCap: int(get["conn_cap"].Num), Cold: span(get["cold_ms"]), ColdRate: get["cold_per_s"].Num,
+				Berths: int(get["berths"].Num), CacheTokens: int(get["cache_tokens"].Num), Spacing: int(get["spacing"].Num)}
 		})
 	case "intake":
-		tree.intake = Intake{HeaderBytes: int(value.Get("header_bytes").Int()), BodyBytes: int(value.Get("body_bytes").Int()), Header: span("header_ms"), Idle: span("idle_ms")}
+		get := fields(value, path, intakeShapes, problems)
+		tree.intake = Intake{HeaderBytes: int(get["header_bytes"].Num), BodyBytes: int(get["body_bytes"].Num), Header: span(get["header_ms"]), Idle: span(get["idle_ms"])}
 	default:
 		return false
 	}
 	return true
 }
+
+// readRoute reads one route and checks what can be told without the rest of the
+// tree.
+func readRoute(value gjson.Result, path string, problems *Problems) *Route {
+	get := fields(value, path, routeShapes, problems)
+	route := &Route{Name: get["name"].Str, Host: get["host"].Str, Prefix: get["prefix"].Str, Kind: get["kind"].Str, Timeout: span(get["timeout_ms"]), Target: span(get["target_ms"]), Gap: span(get["gap_ms"]),
+		Urgency: int(get["urgency"].Num), Tries: max(1, int(get["tries"].Num)), Resume: get["resume"].Bool()}
+	for _, key := range []string{"name", "host"} {
+		if one, known := get[key]; known && one.Str == "" {
+			problems.add(path+"."+key, "is empty")
+		}
+	}
+	if prefix, known := get["prefix"]; known && (!strings.HasPrefix(prefix.Str, "/") || !strings.HasSuffix(prefix.Str, "/")) {
+		problems.add(path+".prefix", "%q must begin and end with a slash", prefix.Str)
+	}
+	if kind, known := get["kind"]; known && kind.Str != Safe && kind.Str != Unsafe && kind.Str != Streamed {
+		problems.add(path+".kind", "%q is none of %s, %s, %s", kind.Str, Safe, Unsafe, Streamed)
+	}
+	for index, home := range get["homes"].Array() {
+		if home.Type != gjson.String {
+			problems.add(fmt.Sprintf("%s.homes.%d", path, index), "must be a string")
+		}
+		route.Homes = append(route.Homes, home.String())
+	}
+	shares, known := get["shares"]
+	sum := 0.0
+	for index, share := range shares.Array() {
+		get := fields(share, fmt.Sprintf("%s.shares.%d", path, index), shareShapes, problems)
+		route.Shares = append(route.Shares, Share{Model: get["model"].Str, Weight: get["weight"].Num})
+		sum += get["weight"].Num
+	}
+	if known && sum <= 0 {
+		problems.add(path+".shares", "its weights must add up to more than 0")
+	}
+	return route
+}
+
+// join checks what routes name elsewhere in the tree.
+func (tree *Tree) join(problems *Problems) {
+	placed := map[string]bool{}
+	for _, leaves := range append(slices.Collect(maps.Values(tree.regions)), slices.Collect(maps.Values(tree.zones))...) {
+		for key := range leaves {
+			if rest, isPlacement := strings.CutPrefix(key, "placements."); isPlacement {
+				model, _ := cutLast(rest)
+				placed[model] = true
+			}
+		}
+	}
+	for index, route := range tree.listed {
+		path := fmt.Sprintf("$.routes.%d", index)
+		for at, share := range route.Shares {
+			switch path := fmt.Sprintf("%s.shares.%d.model", path, at); {
+			case share.Model == "": // told where it is read
+			case !placed[share.Model]:
+				problems.add(path, "names model %q, which is placed nowhere", share.Model)
+			case tree.engines[share.Model] == nil:
+				problems.add(path, "names model %q, which has no engine", share.Model)
+			}
+		}
+		for at, home := range route.Homes {
+			if _, known := tree.regions[home]; !known {
+				problems.add(fmt.Sprintf("%s.homes.%d", path, at), "names region %q, which the tree does not have", home)
+			}
+		}
+	}
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -71,6 +71,7 @@
 	regionOf map[string]string
 	platform map[string]string
 	routes   map[string][]*Route // by host, the longest prefix first
+	listed   []*Route            // as they stand in the document
 	engines  map[string]*Engine
 	intake   Intake
 	label    uint64
@@ -136,6 +137,7 @@
 		inherit(tree.zones[zone], tree.regions[region])
 	}
 	tree.refer(&problems)
+	tree.join(&problems)
 	tree.gather(&problems)
 	tree.agree(&problems)
 	sort.SliceStable(problems, func(a, b int) bool { return problems[a].Path < problems[b].Path })
@@ -147,7 +149,7 @@
 
 func shaped(name, path string, problems *Problems) {
 	if !nameShape.MatchString(name) {
-		problems.add(path, "%q is no name: lower-case letters, digits, dots and dashes", name)
+		problems.add(path, "%q is no name: letters, digits, dots, underscores and dashes", name)
 	}
 }
 
@@ -401,6 +403,13 @@
 // placement says otherwise.
 const DefaultCapacity = 8
 
+// AnyVersion is the version of a placement that leaves open which weights replicas
+// hold: whichever they say that they have.
+const AnyVersion = "any"
+
+// Any tells whether the placement leaves the version open.
+func (placement Placement) Any() bool { return placement.Version == AnyVersion }
+
 // Placement is a model's at a place; false when it is not placed there.
 func (tree *Tree) Placement(model, place string) (Placement, bool) {
 	leaves := tree.leaves(place)
