--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -9,6 +9,7 @@
 	"swifttiller/controlplane"
 	"swifttiller/disk"
 	"swifttiller/listing"
+	"swifttiller/platform"
 	"swifttiller/replica"
 	"swifttiller/serve"
 )
@@ -27,18 +28,29 @@
 		closed = func() { lock.Close() }
 		folder = disk.Real(process.Data)
 	}
-	daemon, err := controlplane.New(controlplane.Options{
+	options := controlplane.Options{
 		World: process.World, Net: process.Net, Process: *process.Process, Live: process.Live, Folder: folder, Incarnation: process.Incarnation,
 		Replicas: &replica.HTTP{World: process.World}, Platform: listing.HTTP{}, Log: process.Log,
-	})
+	}
+	_, isDeployed := platform.Deployed()
+	if isDeployed {
+		options.Platform, options.Dialect = platform.Provider{}, platform.Dialect{}
+	}
+	daemon, err := controlplane.New(options)
 	if err != nil {
 		return serve.Daemon{}, err
 	}
+	var more []serve.Endpoint
+	if isDeployed {
+		if more, err = platform.Desks(daemon); err != nil {
+			return serve.Daemon{}, err
+		}
+	}
 	stop := func(time.Duration) bool { daemon.Stop(); return true }
-	return serve.Daemon{Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: stop, Closed: closed}, nil
+	return serve.Daemon{More: more, Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: stop, Closed: closed}, nil
 }
 
 func main() {
 	more := "\n  With a data folder it is an acceptor that a core may admit."
-	serve.Main("controlplane", &serve.Command{Program: "controlplane", What: "control daemon", More: more, Make: build}, commands())
+	serve.Main("controlplane", &serve.Command{Program: "controlplane", What: "control daemon", More: more, Load: platform.Load(platform.Controlplane), Make: build}, commands())
 }
--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"swifttiller/dataplane"
+	"swifttiller/platform"
 	"swifttiller/replica"
 	"swifttiller/serve"
 	"swifttiller/traces"
@@ -14,16 +15,29 @@
 	if err := switched.To(process.Traces); err != nil {
 		return serve.Daemon{}, err
 	}
-	daemon := dataplane.New(dataplane.Options{
+	options := dataplane.Options{
 		World: process.World, Net: process.Net, Process: *process.Process, Live: process.Live, Incarnation: process.Incarnation,
 		Replicas: &replica.HTTP{World: process.World}, Log: process.Log, Traced: switched.Trace,
-	})
+	}
+	_, isDeployed := platform.Deployed()
+	if isDeployed {
+		options.Relayer = &replica.Relay{World: process.World, Dialect: platform.Dialect{}}
+	}
+	daemon := dataplane.New(options)
+	var more []serve.Endpoint
+	if isDeployed {
+		var err error
+		if more, err = platform.Doors(daemon); err != nil {
+			return serve.Daemon{}, err
+		}
+	}
 	return serve.Daemon{
+		More: more,
 		Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: daemon.Stop,
 		Closed: func() { _ = switched.To("") }, Retrace: switched.To,
 	}, nil
 }
 
 func main() {
-	serve.Main("dataplane", &serve.Command{Program: "dataplane", What: "data daemon", Make: build}, nil)
+	serve.Main("dataplane", &serve.Command{Program: "dataplane", What: "data daemon", Load: platform.Load(platform.Dataplane), Make: build}, nil)
 }
--- a/serve/command.go
+++ b/serve/command.go
@@ -33,6 +33,8 @@
 // Command is the run command of a program.
 type Command struct {
 	Program, What, More string
+	// Load reads the settings.
+	Load Load
 	// Make makes the daemon of a process whose settings hold.
 	Make func(process *Process) (Daemon, error)
 
@@ -60,7 +62,7 @@
 
 // Execute runs the daemon from its settings to its planned stop.
 func (command *Command) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	process, code := Start(*command.path, set, command.check)
+	process, code := Start(command.Load, *command.path, set, command.check)
 	if process == nil {
 		return subcommands.ExitStatus(code)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -54,9 +54,12 @@
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), level))
 }
 
+// Load reads a process's settings and gives the file that they stand in.
+type Load func(path string, set *flag.FlagSet) (*settings.Process, string, error)
+
 // Start reads the settings. With check it only says whether they hold.
-func Start(path string, set *flag.FlagSet, check bool) (*Process, int) {
-	process, err := settings.LoadProcess(path, set)
+func Start(load Load, path string, set *flag.FlagSet, check bool) (*Process, int) {
+	process, _, err := load(path, set)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return nil, 2
@@ -80,7 +83,10 @@
 	}
 	out.Live = settings.NewLive(settings.LiveOptions{
 		Process: *process, Apply: out.apply,
-		Read: func() (*settings.Process, error) { return settings.LoadProcess(path, set) },
+		Read: func() (*settings.Process, error) {
+			process, _, err := load(path, set)
+			return process, err
+		},
 	})
 	return out, 0
 }
--- a/traces/traces.go
+++ b/traces/traces.go
@@ -4,13 +4,14 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"go.opentelemetry.io/collector/pdata/pcommon"
-	"go.opentelemetry.io/collector/pdata/ptrace"
 	"go.uber.org/zap"
 
 	"swifttiller/execute"
@@ -125,9 +126,8 @@
 
 func (writer *Writer) run() {
 	defer close(writer.done)
-	var marshaler ptrace.JSONMarshaler
 	for record := range writer.records {
-		line, err := marshaler.MarshalTraces(writer.Spans(record))
+		line, err := json.Marshal(writer.Spans(record))
 		if err == nil {
 			_, err = writer.file.Write(append(line, '\n'))
 		}
@@ -139,60 +139,104 @@
 	}
 }
 
+// The OpenTelemetry JSON form, as far as it is written here. Its library would do, but
+// the name of its package is one that the users' platform takes for tracing of other
+// processes; the test reads what is written with it.
+type (
+	// Traces are one writer's spans.
+	Traces struct {
+		ResourceSpans [1]resourceSpans `json:"resourceSpans"`
+	}
+	resourceSpans struct {
+		Resource   resource      `json:"resource"`
+		ScopeSpans [1]scopeSpans `json:"scopeSpans"`
+	}
+	resource struct {
+		Attributes []attribute `json:"attributes"`
+	}
+	scopeSpans struct {
+		Scope struct {
+			Name string `json:"name"`
+		} `json:"scope"`
+		Spans []span `json:"spans"`
+	}
+	span struct {
+		TraceID      string      `json:"traceId"`
+		SpanID       string      `json:"spanId"`
+		ParentSpanID string      `json:"parentSpanId,omitempty"`
+		Name         string      `json:"name"`
+		Kind         int         `json:"kind"`
+		Start        string      `json:"startTimeUnixNano"`
+		End          string      `json:"endTimeUnixNano"`
+		Attributes   []attribute `json:"attributes"`
+		Status       status      `json:"status"`
+	}
+	status struct {
+		Message string `json:"message,omitempty"`
+		Code    int    `json:"code,omitempty"`
+	}
+	attribute struct {
+		Key   string         `json:"key"`
+		Value map[string]any `json:"value"`
+	}
+)
+
+const (
+	kindServer = 2
+	kindClient = 3
+	codeError  = 2
+)
+
+func text(key, value string) attribute {
+	return attribute{key, map[string]any{"stringValue": value}}
+}
+
+func count(key string, value int64) attribute {
+	return attribute{key, map[string]any{"intValue": strconv.FormatInt(value, 10)}}
+}
+
+func truth(key string, value bool) attribute {
+	return attribute{key, map[string]any{"boolValue": value}}
+}
+
+func (one *span) judge(code string) {
+	if code != "ok" {
+		one.Status = status{code, codeError}
+	}
+}
+
 // Spans makes a request's spans: one for the request, one below it for each
 // dispatch. The trace's id is made of the request's, so that what several
 // daemons write of one request meets in one trace.
-func (writer *Writer) Spans(record execute.Record) ptrace.Traces {
-	traces := ptrace.NewTraces()
-	resource := traces.ResourceSpans().AppendEmpty()
-	about := resource.Resource().Attributes()
-	about.PutStr("service.name", "swifttiller-dataplane")
-	about.PutStr("service.instance.id", writer.Daemon)
-	about.PutStr("cloud.region", writer.Region)
-	about.PutStr("cloud.availability_zone", writer.Zone)
-	scope := resource.ScopeSpans().AppendEmpty()
-	scope.Scope().SetName("swifttiller")
+func (writer *Writer) Spans(record execute.Record) Traces {
+	var traces Traces
+	within := &traces.ResourceSpans[0]
+	within.Resource.Attributes = []attribute{
+		text("service.name", "swifttiller-dataplane"), text("service.instance.id", writer.Daemon),
+		text("cloud.region", writer.Region), text("cloud.availability_zone", writer.Zone),
+	}
+	scope := &within.ScopeSpans[0]
+	scope.Scope.Name = "swifttiller"
 	sum := sha256.Sum256([]byte(record.ID))
-	trace := pcommon.TraceID(sum[:16])
-	span := func(name string, part byte, parent pcommon.SpanID) ptrace.Span {
-		one := scope.Spans().AppendEmpty()
+	add := func(name string, kind int, part byte, parent string, attributes []attribute, code string) string {
 		mark := sha256.Sum256([]byte(record.ID + writer.Daemon + record.At.String() + string(rune(part))))
-		one.SetName(name)
-		one.SetTraceID(trace)
-		one.SetSpanID(pcommon.SpanID(mark[:8]))
-		one.SetParentSpanID(parent)
-		one.SetStartTimestamp(pcommon.NewTimestampFromTime(record.At))
-		one.SetEndTimestamp(pcommon.NewTimestampFromTime(record.At.Add(max(record.Took, time.Nanosecond))))
-		return one
-	}
-	whole := span("request", 0, pcommon.SpanID{})
-	whole.SetKind(ptrace.SpanKindServer)
-	attributes := whole.Attributes()
-	attributes.PutStr("swifttiller.request", record.ID)
-	attributes.PutStr("swifttiller.model", record.Model)
-	attributes.PutStr("swifttiller.kind", record.Kind)
-	attributes.PutStr("swifttiller.verdict", record.Verdict)
-	attributes.PutStr("swifttiller.code", record.Code)
-	attributes.PutInt("swifttiller.events", int64(record.Events))
-	if record.Code != "ok" {
-		whole.Status().SetCode(ptrace.StatusCodeError)
-		whole.Status().SetMessage(record.Code)
+		one := span{
+			TraceID: hex.EncodeToString(sum[:16]), SpanID: hex.EncodeToString(mark[:8]), ParentSpanID: parent, Name: name, Kind: kind, Attributes: attributes,
+			Start: strconv.FormatInt(record.At.UnixNano(), 10), End: strconv.FormatInt(record.At.Add(max(record.Took, time.Nanosecond)).UnixNano(), 10),
+		}
+		one.judge(code)
+		scope.Spans = append(scope.Spans, one)
+		return one.SpanID
 	}
+	whole := add("request", kindServer, 0, "", []attribute{
+		text("swifttiller.request", record.ID), text("swifttiller.model", record.Model), text("swifttiller.kind", record.Kind),
+		text("swifttiller.verdict", record.Verdict), text("swifttiller.code", record.Code), count("swifttiller.events", int64(record.Events)),
+	}, record.Code)
 	for index, dispatch := range record.Dispatches {
-		one := span("dispatch", byte(index+1), whole.SpanID())
-		one.SetKind(ptrace.SpanKindClient)
-		attributes := one.Attributes()
-		attributes.PutStr("swifttiller.replica", dispatch.Replica)
-		attributes.PutStr("swifttiller.version", dispatch.Version)
-		attributes.PutStr("swifttiller.region", dispatch.Region)
-		attributes.PutInt("swifttiller.serial", int64(dispatch.Serial))
-		attributes.PutBool("swifttiller.trial", dispatch.Trial)
-		attributes.PutBool("swifttiller.spill", dispatch.Spill)
-		attributes.PutStr("swifttiller.verdict", dispatch.Verdict)
-		if dispatch.Code != "ok" {
-			one.Status().SetCode(ptrace.StatusCodeError)
-			one.Status().SetMessage(dispatch.Code)
-		}
+		add("dispatch", kindClient, byte(index+1), whole, []attribute{
+			text("swifttiller.replica", dispatch.Replica), text("swifttiller.version", dispatch.Version), text("swifttiller.region", dispatch.Region),
+			count("swifttiller.serial", int64(dispatch.Serial)), truth("swifttiller.trial", dispatch.Trial), truth("swifttiller.spill", dispatch.Spill), text("swifttiller.verdict", dispatch.Verdict),
+		}, dispatch.Code)
 	}
 	return traces
 }
