--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -32,7 +32,7 @@
 		}
 	}
 	return serve.Daemon{
-		More: more,
+		More:     more,
 		Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: daemon.Stop,
 		Closed: func() { _ = switched.To("") }, Retrace: switched.To,
 	}, nil
--- a/dataplane/relay.go
+++ b/dataplane/relay.go
@@ -97,7 +97,7 @@
 
 // Serving tells whether callers may be sent here.
 func (daemon *Daemon) Serving() bool {
-	return daemon.Holder.View().Stands(daemon.World.Now()) && !daemon.leaving.Load()
+	return daemon.Holder.View().Serves(daemon.World.Now()) && !daemon.leaving.Load()
 }
 
 // DoorSpan is how long a caller may go by what it was told of daemons.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -118,6 +118,9 @@
 	// readRate is how fast they read prompts, zero until learned.
 	engines  map[string]*engine
 	readRate float64
+	// readersBy are the replicas for long prompts, by model, as of the view readersOf.
+	readersOf *permit.View
+	readersBy map[string]map[string]bool
 }
 
 // Counts are what operators watch.
@@ -261,7 +264,8 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	// A stop lets in what was allowed before it; a lost permit does not.
-	if !view.Stands(decider.World.Now()) {
+	stands := view.Stands(decider.World.Now()) || selection.routed != nil && view.Serves(decider.World.Now())
+	if !stands {
 		return 0, decider.decline(503, "no_permit", "the permit ran out before the dispatch", time.Second)
 	}
 	if row, _ := find(view, selection); row == nil {
--- a/decide/route.go
+++ b/decide/route.go
@@ -44,7 +44,7 @@
 	switch {
 	case decider.stopped:
 		return decider.decline(503, "stopping", "this daemon is about to stop", comeBackSoon)
-	case !view.Stands(now):
+	case !view.Serves(now):
 		return decider.decline(503, "no_permit", "this daemon has no permit to serve; try another", comeBackSoon)
 	}
 	route := view.Tree.Route(routed.Host, routed.Path)
@@ -122,7 +122,7 @@
 		decider.guard.Lock()
 		view := decider.Holder()
 		now := decider.World.Now()
-		if !view.Stands(now) {
+		if !view.Serves(now) {
 			mishap := decider.decline(503, "no_permit", "this daemon has no permit to serve; try another", comeBackSoon)
 			decider.guard.Unlock()
 			return nil, mishap
@@ -180,8 +180,9 @@
 	}
 	route := routed.Route
 	known := view.Tree.Engine(routed.Model)
-	owners := map[string]string{} // by region
-	scores := map[string]uint64{}
+	owner, most := "", uint64(0) // of the shared parts, among all that may be asked
+	isLong := decider.reading(routed.Tokens) >= routed.Route.Target/longShare
+	readers := decider.readers(view, routed.Model)
 	shunnedOnly := true
 	var shunned []prospect
 	for _, region := range view.Tree.Regions() {
@@ -206,9 +207,9 @@
 				continue
 			}
 			seat := decider.engine(place.ID)
-			if routed.owner != 0 {
-				if score := score(routed.owner, place.ID); owners[region] == "" || score > scores[region] {
-					owners[region], scores[region] = place.ID, score
+			if routed.owner != 0 && readers[place.ID] == isLong {
+				if score := score(routed.owner, place.ID); owner == "" || score > most {
+					owner, most = place.ID, score
 				}
 			}
 			if wait := decider.paced(view, known, place, seat, now); wait > 0 {
@@ -231,7 +232,10 @@
 	var best *prospect
 	for at := range all {
 		one := &all[at]
-		decider.foresee(view, routed, one, owners[one.place.Region] == one.place.ID, now)
+		decider.foresee(view, routed, one, owner == one.place.ID, now)
+		if readers[one.place.ID] != isLong {
+			one.weight += strayWeight
+		}
 		if best == nil || one.weight < best.weight {
 			best = one
 		}
@@ -272,22 +276,23 @@
 	seat := one.seat
 	own, shared := seat.unread(routed.Parts, routed.Tokens, isOwner)
 	one.unread = own + shared
-	rate := decider.rate()
 	others := 0
 	if now-seat.loadAt < time.Second {
 		others = max(0, seat.load.Running-seat.running)
 	}
-	reading := time.Duration(float64(seat.reading+one.unread) / rate * float64(time.Millisecond))
-	one.foreseen = reading + time.Duration(seat.running+others)*eachRunning + seat.lagged(now)
+	one.foreseen = decider.reading(seat.reading) + decider.reading(one.unread) + time.Duration(seat.running+others)*eachRunning + seat.lagged(now)
 	if now-seat.loadAt < time.Second {
 		one.foreseen += time.Duration(seat.load.Waiting) * eachWaiting
 	}
-	one.weight = one.foreseen + time.Duration(float64(shared)/rate*float64(time.Millisecond))
+	one.weight = one.foreseen + time.Duration(float64(shared)/1000*float64(view.Tree.Span("again_ms", decider.Self.Zone)))
 	if one.place.Region != decider.Self.Region {
 		far := view.Tree.Span("far_ms", decider.Self.Zone)
 		one.foreseen += far
 		one.weight += 2*far + time.Duration(view.Tree.Limit("far_kb_ms", decider.Self.Zone)*float64(routed.Bytes)/1024*float64(time.Millisecond))
 	}
+	if over := one.foreseen - routed.Route.Target*4/5; over > 0 && routed.Route.Target > 0 {
+		one.weight += lateWeight + over
+	}
 	if one.place.Slow {
 		one.weight += one.foreseen
 	}
@@ -298,6 +303,59 @@
 	one.weight += time.Duration(decider.World.Draw(int64(eachRunning)))
 }
 
+// reading is how long a replica reads a prompt of so many tokens.
+func (decider *Decider) reading(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / decider.rate() * float64(time.Millisecond))
+}
+
+// readers are the replicas that long prompts go to, so that short ones do not wait
+// behind them elsewhere: a share of each region's, and all where some route may not go.
+// Every daemon finds the same ones, and asks nobody.
+func (decider *Decider) readers(view *permit.View, model string) map[string]bool {
+	if decider.readersOf == view {
+		return decider.readersBy[model]
+	}
+	decider.readersOf, decider.readersBy = view, map[string]map[string]bool{}
+	share := view.Tree.Limit("reader_share", decider.Self.Zone)
+	for _, region := range view.Tree.Regions() {
+		one := view.Standings[region]
+		seats := map[string][]string{} // by model
+		index := map[string]*standing.Place{}
+		for at := range one.Places {
+			index[one.Places[at].ID] = &one.Places[at]
+		}
+		for _, row := range one.Rows {
+			if place := index[row.Replica]; place != nil && !view.Evacuated[place.Zone] && !row.Trial {
+				seats[row.Model] = append(seats[row.Model], row.Replica)
+			}
+		}
+		for model, list := range seats {
+			sort.Slice(list, func(a, b int) bool { return score(1, list[a]) > score(1, list[b]) })
+			count := int(math.Round(share * float64(len(list))))
+			if view.Tree.Barred(model, region) {
+				count = len(list)
+			}
+			if decider.readersBy[model] == nil {
+				decider.readersBy[model] = map[string]bool{}
+			}
+			for _, id := range list[:count] {
+				decider.readersBy[model][id] = true
+			}
+		}
+	}
+	return decider.readersBy[model]
+}
+
+// longShare: a prompt that takes this part of its target to read is long. strayWeight
+// is what a replica for the other length has to be better by.
+const (
+	longShare   = 8
+	strayWeight = 250 * time.Millisecond
+)
+
+// lateWeight is what an answer that is foreseen to be late is weighed as.
+const lateWeight = 300 * time.Millisecond
+
 // coldWeight is what a cold replica has to be better by.
 const coldWeight = 30 * time.Millisecond
 
@@ -418,12 +476,12 @@
 
 // silence is how long a replica may say nothing at all while requests wait for it.
 func silence(selection *Selection) time.Duration {
-	return min(leastSilence+2*selection.Foreseen, mostSilence)
+	return leastSilence + silenceTimes*selection.Foreseen
 }
 
 const (
 	leastSilence = 350 * time.Millisecond
-	mostSilence  = 1500 * time.Millisecond
+	silenceTimes = 3
 	firstShun    = 300 * time.Millisecond
 	mostShun     = 3 * time.Second
 )
@@ -465,7 +523,7 @@
 // in the region, then the rest; none while this daemon has no permit.
 func (decider *Decider) Doors(region, zone string) []session.Member {
 	view := decider.Holder()
-	if !view.Stands(decider.World.Now()) {
+	if !view.Serves(decider.World.Now()) {
 		return nil
 	}
 	var out []session.Member
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -47,6 +47,13 @@
 	return view != nil && view.Tree != nil && now < view.Expiry
 }
 
+// Serves tells whether routed requests may be served at the time: while the permit
+// stands, and for alone_ms after it, where the settings allow that. What such a daemon
+// goes by may be old; it never goes back.
+func (view *View) Serves(now time.Duration) bool {
+	return view != nil && view.Tree != nil && now < view.Expiry+view.Tree.Span("alone_ms", "")
+}
+
 // HolderOptions of a holder.
 type HolderOptions struct {
 	World  loop.World
@@ -136,7 +143,7 @@
 	}
 	next.Standings = map[string]standing.Standing{}
 	for region, one := range have.Standings {
-		if _, isKept := grant.Kept[region]; isKept || have.Stands(asked) {
+		if _, isKept := grant.Kept[region]; isKept || have.Serves(asked) {
 			next.Standings[region] = one
 		}
 	}
@@ -186,7 +193,7 @@
 	have := holder.View()
 	next := *have
 	isHeld := true
-	if offer.Serial > have.Serial && have.Stands(holder.World.Now()) {
+	if offer.Serial > have.Serial && have.Serves(holder.World.Now()) {
 		if isHeld = next.adopt(offer.Serial, offer.Config); isHeld {
 			holder.view.Store(&next)
 		}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -18,6 +18,7 @@
 // meaning. Times are in milliseconds.
 var Limits = map[string]Bound{
 	"permit_ms":          {2000, 300, 2800, "how long a data daemon may serve after it last asked a core majority"},
+	"alone_ms":           {0, 0, 86400000, "how long a data daemon serves routed requests by what it last knew, once its permit has ended"},
 	"session_ms":         {1500, 300, 3000, "how long a daemon stays a member unheard"},
 	"queue_ms":           {1500, 10, 60000, "how long a request may wait for a replica"},
 	"queue_length":       {128, 1, 100000, "how many requests may wait in one data daemon"},
@@ -46,7 +47,9 @@
 	"prompt_unit_bytes":  {8192, 64, 1048576, "prompt bytes per unit of cost"},
 	"answer_unit_tokens": {512, 1, 1048576, "answer tokens per unit of cost"},
 	"far_ms":             {80, 0, 10000, "what the way to another region adds to a first piece"},
-	"far_kb_ms":          {10, 0, 10000, "what a KiB sent to another region is weighed as, in ms of waiting"},
+	"far_kb_ms":          {4, 0, 10000, "what a KiB sent to another region is weighed as, in ms of waiting"},
+	"reader_share":       {0.7, 0, 1, "which part of a model's replicas long prompts go to"},
+	"again_ms":           {60, 0, 10000, "what a thousand shared tokens read again elsewhere are weighed as, in ms of waiting"},
 	"affinity_slack":     {1.5, 0, 100, "how far above the average load a prompt's own replica may go; 0: prompts have no own replica"},
 }
 
