Roll-outs under a term, and placements that hold any version

Cause: where the platform starts replicas of a new version by itself, next to the old ones, there is nothing to load and nothing was served: rows came only for the version that a route names. A roll-out there has a term, and what fails goes back before it.

Ruled out: a share per kind, as for trials so far (a kind of one request a second saves up its first one after 12 s); beginning the trial with the run (replicas that come up before it would count as equals; now the order itself names the trial); moving early and watching (one that turns bad then gets far more than its share); judging lateness by stall_ms alone (400 ms at the least, so three times 100 ms went unseen).

Conclusion: one order in the model's register, one run per region under its id; the small share of all requests until most of the term is over; all regions move once every one has passed, and it is done once nothing runs on the replicas that are to stop.

--- a/controlplane/http.go
+++ b/controlplane/http.go
@@ -122,6 +122,24 @@
 		runs, err := daemon.Handover(ask.ID, ask.Model, ask.Version, ask.Regions)
 		return reply(ctx, runs, err)
 	})
+	app.Post("/v1/rollouts", func(ctx *fiber.Ctx) error {
+		var ask struct {
+			Model, Version string
+			Over           float64 `json:"over_s"`
+		}
+		if err := json.Unmarshal(ctx.Body(), &ask); err != nil {
+			return fail(ctx, verdict.Decline(400, "bad_request", err.Error(), 0))
+		}
+		if err := daemon.BeginRollout(ask.Model, ask.Version, time.Duration(ask.Over*float64(time.Second))); err != nil {
+			return fail(ctx, err)
+		}
+		state, err := daemon.RolloutState(ask.Model)
+		return reply(ctx, state, err)
+	})
+	app.Get("/v1/rollouts/:model", func(ctx *fiber.Ctx) error {
+		state, err := daemon.RolloutState(string([]byte(ctx.Params("model"))))
+		return reply(ctx, state, err)
+	})
 	app.Post("/v1/handovers/:model/rollback", func(ctx *fiber.Ctx) error {
 		model, err := daemon.Objects.Rollback(string([]byte(ctx.Params("model"))), words(string([]byte(ctx.Query("regions")))), daemon.standby())
 		return reply(ctx, model, err)
--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -146,6 +146,11 @@
 		}
 	}
 	runs := map[string]workflow.Run{}
+	for _, region := range regions {
+		if placement, _ := tree.Placement(model, region); placement.Any() {
+			return nil, verdict.Decline(409, "any_version", fmt.Sprintf("model %q holds any version in region %s: its replicas start by themselves; order a roll-out under a term", model, region), 0)
+		}
+	}
 	for _, region := range regions {
 		run, _, err := daemon.Book.Start(rollout.Key(model, region), id, rollout.Contents{Model: model, Region: region, Version: version})
 		if err != nil {
@@ -156,6 +161,68 @@
 	return runs, nil
 }
 
+// RolloutState is how a model's newest roll-out under a term stands, over all regions.
+type RolloutState struct {
+	// State is running, done or back (rollout.Moving and its like); empty when there was
+	// none.
+	State   string `json:"state"`
+	Version string `json:"version"`
+	Reason  string `json:"reason,omitempty"` // why it was taken back
+}
+
+// open lists the regions that place the model with any version.
+func open(tree *settings.Tree, model string) (regions []string) {
+	if tree == nil {
+		return nil
+	}
+	for _, region := range tree.Regions() {
+		if placement, placed := tree.Placement(model, region); placed && placement.Any() {
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
+
+// BeginRollout orders that the model's traffic move, in all regions, to the replicas of
+// a version within the term; these start by themselves. The same order again joins the
+// one under way, or one that ended a short while ago; another one meanwhile is declined
+// (409). The error is always a *verdict.Mishap. It returns once the order lasts; the
+// holders of the regions' duties take it up.
+func (daemon *Daemon) BeginRollout(model, version string, over time.Duration) error {
+	_, _, tree := daemon.Office.Current()
+	regions := open(tree, model)
+	switch {
+	case version == "" || over <= 0:
+		return verdict.Decline(400, "bad_request", "a roll-out needs a version and a term", 0)
+	case tree == nil:
+		return verdict.Decline(409, "no_configuration", "there is no configuration yet", 0)
+	case len(regions) == 0:
+		return verdict.Decline(404, "no_model", fmt.Sprintf("model %q is placed in no region with any version", model), 0)
+	}
+	if _, err := daemon.Objects.Begin(model, version, over, regions); err != nil {
+		return answer(err)
+	}
+	return nil
+}
+
+// RolloutState tells how the model's newest roll-out under a term stands. The error is
+// always a *verdict.Mishap.
+func (daemon *Daemon) RolloutState(model string) (RolloutState, error) {
+	have, err := daemon.Objects.Model(model)
+	if err != nil {
+		return RolloutState{}, answer(err)
+	}
+	if have.Order == nil {
+		return RolloutState{}, nil
+	}
+	_, _, tree := daemon.Office.Current()
+	regions := open(tree, model)
+	if tree == nil { // it started just now
+		regions = have.Order.Regions
+	}
+	return RolloutState{State: have.Order.State(regions), Version: have.Order.Version, Reason: have.Order.Back}, nil
+}
+
 // ModelStatus is what an operator sees of a model.
 type ModelStatus struct {
 	rollout.Model
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -204,10 +205,18 @@
 	defer region.guard.Unlock()
 	var out []standing.Replica
 	for _, one := range region.table {
+		held := one.vitals.Held
+		if one.Version != "" {
+			held = maps.Clone(held)
+			if held == nil {
+				held = map[string]string{}
+			}
+			held[one.Model+"/"+one.Version] = standing.Ready
+		}
 		out = append(out, standing.Replica{
 			ID: one.ID, Address: one.Address, Zone: one.Zone, Region: region.name,
 			Leaving: one.leaving || one.unlisted, Alive: one.probed && now-one.answered < dark,
-			Boot: one.vitals.Boot, Held: one.vitals.Held, Load: one.vitals.Load,
+			Boot: one.vitals.Boot, Held: held, Load: one.vitals.Load,
 		})
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
@@ -226,14 +235,23 @@
 
 // restore fills the table with the names of the last standing, so that a new
 // holder of the duty does not take a region for empty while the platform lags.
-// What the replicas hold, and in which life, only probes can say.
+// In which life the replicas are, and what they hold where that is ordered, only probes
+// can say.
 func (region *region) restore(last standing.Standing) {
 	now := region.World.Now()
 	region.guard.Lock()
 	defer region.guard.Unlock()
+	tree := region.tree()
 	for _, place := range last.Places {
 		if region.table[place.ID] == nil {
-			region.table[place.ID] = &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
+			one := &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
+			for _, row := range last.Rows {
+				// Whatever version it holds it holds for all of its life.
+				if placement, _ := tree.Placement(row.Model, place.Zone); row.Replica == place.ID && placement.Any() {
+					one.Model, one.Version = row.Model, row.Version
+				}
+			}
+			region.table[place.ID] = one
 		}
 	}
 	if len(last.Places) > 0 {
@@ -351,13 +369,13 @@
 	if region.runner == nil {
 		region.runner = &rollout.Runner{World: region.World, Objects: region.Objects, Book: region.Book, Client: region.Replicas, Point: region.Point}
 	}
-	runner, seeded, routes := region.runner, region.seeded, region.routes
+	runner, seeded, routes, before := region.runner, region.seeded, region.routes, region.before
 	region.guard.Unlock()
 	if !seeded || region.unprobed(tree) {
 		return
 	}
 	_, whole, _ := region.Office.Current()
-	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes}
+	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes, Standing: before, Watched: region.Table.Watched()}
 	scene.Daemons, scene.Incarnations = region.daemons()
 	for _, zone := range whole.Evacuated {
 		scene.Evacuated[zone] = true
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,8 +3,10 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -48,7 +50,11 @@
 	Serial                    uint64
 	Cost                      int
 	Trial, Spill, Affine      bool
-	call                      *Call
+	// Allowance is what is known beforehand to pass before the first piece on top of
+	// what is usual, such as the reading of what the replica does not keep; it is held
+	// against nobody.
+	Allowance time.Duration
+	call      *Call
 }
 
 // Options of a decider.
@@ -506,6 +512,11 @@
 		if len(group) == 0 {
 			return candidate{}, false, false
 		}
+		if group[0].row.Trial && decider.holdsAny(view, call.Model) {
+			return slices.MaxFunc(group, func(a, b candidate) int {
+				return cmp.Compare(trialRank(a.row.Model, a.row.Version, a.row.Replica), trialRank(b.row.Model, b.row.Version, b.row.Replica))
+			}), false, true
+		}
 		sort.Slice(group, func(a, b int) bool {
 			x, y := score(call.Prefix, group[a].row.Replica), score(call.Prefix, group[b].row.Replica)
 			return x > y || x == y && group[a].row.Version < group[b].row.Version
@@ -534,6 +545,12 @@
 		}
 	}
 	selection := &Selection{Replica: one.row.Replica, Address: one.place.Address, Version: one.row.Version, Boot: one.place.Boot, Region: one.place.Region, Serial: view.Serial, Cost: cost, Trial: one.row.Trial, Spill: !one.home, Affine: affine, call: call}
+	decider.dispatched(view, selection)
+	return selection
+}
+
+// dispatched counts a selection that is about to be given out.
+func (decider *Decider) dispatched(view *permit.View, selection *Selection) {
 	decider.occupy(selection, 1)
 	decider.counts.Dispatches++
 	decider.accrue(view, selection)
@@ -544,10 +561,9 @@
 	if selection.Spill {
 		decider.counts.Spilled++
 	}
-	if affine {
+	if selection.Affine {
 		decider.counts.Affine++
 	}
-	return selection
 }
 
 // score is the rendezvous weight of a prompt's beginning at a replica.
@@ -597,9 +613,12 @@
 	switch {
 	case mishap == nil:
 		outcome.OK, outcome.Least = 1, first
-		if first > decider.overdue(selection) {
+		if first > selection.Allowance+decider.overdue(selection) {
 			outcome.Late = 1
 		}
+		if decider.slow(selection, first-selection.Allowance) {
+			outcome.Slow = 1
+		}
 	case mishap.Code == "caller_gone" && !decider.late(selection, now) || mishap.Code == "no_permit" || mishap.Code == "moved_on" || mishap.Code == "replica_rejected":
 		// Says nothing about the replica.
 	case mishap.Code == replica.AnewCode:
@@ -618,8 +637,8 @@
 		decider.refund(decider.Holder(), selection)
 	}
 	delete(decider.judging.waiting, selection)
-	if outcome.OK > 0 && outcome.Late == 0 {
-		decider.learn(selection, first)
+	if outcome.OK > 0 && outcome.Late == 0 && !(selection.Trial && outcome.Slow > 0) {
+		decider.learn(selection, max(0, first-selection.Allowance))
 	}
 	decider.occupy(selection, -1)
 	decider.flow(decider.released, selection.call.Model).add(now, float64(selection.Cost))
--- /dev/null
+++ b/decide/export_test.go
@@ -0,0 +1,17 @@
+package decide
+
+import "swifttiller/permit"
+
+// OpensTrial is opensTrial under the guard.
+func (decider *Decider) OpensTrial(view *permit.View, call *Call, region string) (string, bool) {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	return decider.opensTrial(view, call, region)
+}
+
+// Barred is barred under the guard.
+func (decider *Decider) Barred(view *permit.View, region, model, version string) bool {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	return decider.barred(view, region, model, version)
+}
--- a/decide/judge.go
+++ b/decide/judge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"swifttiller/permit"
+	"swifttiller/settings"
 	"swifttiller/standing"
 )
 
@@ -18,15 +19,18 @@
 // neither on trial nor watched; counts that fade do not clear it.
 type judging struct {
 	view    *permit.View      // that trials and watches were read from
-	trials  map[string]bool   // by region/model
+	trials  map[string]string // by region/model: the version on trial
 	watches map[string]string // by region/model: the version that is watched
 	left    map[string]string // by region/model: the one to go back to
 	tokens  map[string]*tokens
 	failed  map[standing.Held]bool
+	// pots are the tokens where placements hold any version, by region/model.
+	pots map[string]*pot
 	// waiting are dispatches without a piece so far, and since when; usual is how
 	// long the first piece of a model and kind takes, smoothed.
 	waiting map[*Selection]time.Duration
 	usual   map[string]time.Duration
+	learned map[string]int // how many first pieces that was learned from
 }
 
 // tokens are a kind's dispatches saved up for a trial. They are spent in bursts,
@@ -37,8 +41,110 @@
 	isSpending bool
 }
 
+// pot holds the dispatches saved up for a trial where the placement holds any version.
+// There the small share is one of all kinds together, as a trial is short: it ends with
+// its term, and a kind that comes seldom would save up nothing of its own until then.
+// Kinds that had fewer trials than others come first, and one token is kept for them.
+//
+// Invariant: value grows from zero, by small_share for each dispatch into the region, so
+// that of what reached its replicas never more than that share was the trial's.
+type pot struct {
+	tokens
+	version string
+	kinds   map[string]*kindPart
+}
+
+// kindPart is one kind's part in a pot.
+type kindPart struct {
+	value  float64 // what the kind may give yet, bounded by openKindShare of it
+	rate   flow
+	trials int
+}
+
+// openKindShare is the most of one kind that a trial of a pot gets.
+const openKindShare = 0.3
+
+// part is the kind's, which may give one at once.
+func (pot *pot) part(kind string) *kindPart {
+	one := pot.kinds[kind]
+	if one == nil {
+		one = &kindPart{value: 1}
+		pot.kinds[kind] = one
+	}
+	return one
+}
+
+// save counts a dispatch for the region's pot.
+func (decider *Decider) save(view *permit.View, selection *Selection) {
+	at := selection.Region + "/" + selection.call.Model
+	version := decider.scan(view).trials[at]
+	if version == "" {
+		delete(decider.judging.pots, at)
+		return
+	}
+	one := decider.judging.pots[at]
+	if one == nil || one.version != version {
+		one = &pot{version: version, kinds: map[string]*kindPart{}}
+		decider.judging.pots[at] = one
+	}
+	now := decider.World.Now()
+	part := one.part(selection.call.Kind)
+	one.rate.add(now, 1)
+	part.rate.add(now, 1)
+	one.value += view.Tree.Limit("small_share", decider.Self.Zone)
+	part.value += openKindShare
+	if selection.Trial {
+		one.value--
+		part.value--
+		part.trials++
+	}
+}
+
+// unsave takes back what a dispatch that did not run was counted for.
+func (decider *Decider) unsave(view *permit.View, selection *Selection) {
+	one := decider.judging.pots[selection.Region+"/"+selection.call.Model]
+	if one == nil || selection.Trial && selection.Version != one.version {
+		return
+	}
+	part := one.part(selection.call.Kind)
+	one.value -= view.Tree.Limit("small_share", decider.Self.Zone)
+	part.value -= openKindShare
+	if selection.Trial {
+		one.value++
+		part.value++
+		part.trials--
+	}
+}
+
+// openBurst is for how long dispatches are saved up in a pot before any is spent.
+const openBurst = time.Second
+
+// gives tells whether the kind may give the pot's trial a dispatch now.
+func (pot *pot) gives(kind string, share float64, now time.Duration) bool {
+	mine := pot.part(kind)
+	if mine.value < 1 {
+		return false
+	}
+	kept := 0.0
+	for _, one := range pot.kinds {
+		if one.trials > mine.trials {
+			return pot.value >= 1 // it comes first
+		}
+		if one.trials < mine.trials && one.rate.rate(now) > 0 {
+			kept = 1
+		}
+	}
+	switch {
+	case pot.value < 1+kept:
+		pot.isSpending = false
+	case pot.value >= kept+max(1, pot.rate.rate(now)*share*openBurst.Seconds()):
+		pot.isSpending = true
+	}
+	return pot.isSpending
+}
+
 func newJudging() judging {
-	return judging{tokens: map[string]*tokens{}, failed: map[standing.Held]bool{}, waiting: map[*Selection]time.Duration{}, usual: map[string]time.Duration{}}
+	return judging{pots: map[string]*pot{}, tokens: map[string]*tokens{}, failed: map[standing.Held]bool{}, waiting: map[*Selection]time.Duration{}, usual: map[string]time.Duration{}, learned: map[string]int{}}
 }
 
 // scan reads from a new view what is on trial and what is watched.
@@ -48,12 +154,12 @@
 		return judging
 	}
 	judging.view = view
-	judging.trials, judging.watches, judging.left = map[string]bool{}, map[string]string{}, map[string]string{}
+	judging.trials, judging.watches, judging.left = map[string]string{}, map[string]string{}, map[string]string{}
 	shown := map[standing.Held]bool{}
 	for region, one := range view.Standings {
 		for _, row := range one.Rows {
 			if row.Trial {
-				judging.trials[region+"/"+row.Model] = true
+				judging.trials[region+"/"+row.Model] = row.Version
 				shown[standing.Held{Model: row.Model, Version: row.Version}] = true
 			}
 			if row.Back {
@@ -86,8 +192,12 @@
 // accrue counts a dispatch into the region for the trial of its model there, if
 // there is one, and takes what the trial itself was given.
 func (decider *Decider) accrue(view *permit.View, selection *Selection) {
+	if decider.holdsAny(view, selection.call.Model) {
+		decider.save(view, selection)
+		return
+	}
 	call, key := selection.call, tokenKey(selection.Region, selection.call)
-	if !decider.scan(view).trials[selection.Region+"/"+call.Model] {
+	if decider.scan(view).trials[selection.Region+"/"+call.Model] == "" {
 		delete(decider.judging.tokens, key)
 		return
 	}
@@ -105,8 +215,15 @@
 
 // refund takes back what a dispatch that did not run was counted for.
 func (decider *Decider) refund(view *permit.View, selection *Selection) {
+	if view.Tree == nil {
+		return
+	}
+	if decider.holdsAny(view, selection.call.Model) {
+		decider.unsave(view, selection)
+		return
+	}
 	one := decider.judging.tokens[tokenKey(selection.Region, selection.call)]
-	if one == nil || view.Tree == nil {
+	if one == nil {
 		return
 	}
 	one.value -= view.Tree.Limit("small_share", decider.Self.Zone)
@@ -122,8 +239,55 @@
 	return max(1, rate*view.Tree.Span("trial_ms", decider.Self.Region).Seconds()/3)
 }
 
+// holdsAny tells whether the model's placement holds any version.
+func (decider *Decider) holdsAny(view *permit.View, model string) bool {
+	placement, _ := view.Tree.Placement(model, decider.Self.Zone)
+	return placement.Any()
+}
+
+// opensTrial gives the version of the call's model that is on trial in the region,
+// empty when there is none, and whether this request is to go to it now: then it goes
+// to none of the other versions there. The caller holds guard, and what it selects it
+// counts by dispatched.
+func (decider *Decider) opensTrial(view *permit.View, call *Call, region string) (version string, open bool) {
+	version = decider.scan(view).trials[region+"/"+call.Model]
+	return version, version != "" && decider.opens(view, call, region, settings.AnyVersion, version)
+}
+
+// trialRank orders the replicas of a version on trial, the greatest first. All daemons
+// have the same order: what they may give goes to few replicas, which so bear a load at
+// which a version that fails under load shows it.
+func trialRank(model, version, replica string) uint64 {
+	return score(Prefix([]byte(model+"@"+version)), replica)
+}
+
+// barred tells whether a version of a model gets none of the region's requests, unless
+// opensTrial has opened it for the one at hand: it is on trial; it is watched after its
+// move and plainly fails by this daemon's own counts; or it was left by that move and
+// stands by. The caller holds guard.
+func (decider *Decider) barred(view *permit.View, region, model, version string) bool {
+	judging := decider.scan(view)
+	at := region + "/" + model
+	switch {
+	case judging.trials[at] == version:
+		return true
+	case judging.watches[at] == "":
+		return false
+	case judging.watches[at] == version:
+		return decider.fails(view, region, model)
+	}
+	return !decider.fails(view, region, model)
+}
+
 // opens tells whether the kind may give the region's trial a dispatch now.
 func (decider *Decider) opens(view *permit.View, call *Call, region, old, trial string) bool {
+	if decider.holdsAny(view, call.Model) {
+		pot := decider.judging.pots[region+"/"+call.Model]
+		if pot == nil || pot.version != trial || call.retry || decider.isPlain(call.Model, old, trial) {
+			return false
+		}
+		return pot.gives(call.Kind, view.Tree.Limit("small_share", decider.Self.Zone), decider.World.Now())
+	}
 	one := decider.judging.tokens[tokenKey(region, call)]
 	if one == nil || call.retry || decider.isPlain(call.Model, old, trial) {
 		return false
@@ -156,7 +320,11 @@
 // one that was left is to be used.
 func (decider *Decider) fails(view *permit.View, region, model string) bool {
 	version := decider.watched(view, region, model)
-	return version != "" && decider.isPlain(model, decider.judging.left[region+"/"+model], version)
+	old := decider.judging.left[region+"/"+model]
+	if decider.holdsAny(view, model) {
+		old = settings.AnyVersion // several may have been left
+	}
+	return version != "" && decider.isPlain(model, old, version)
 }
 
 // trial decides, where a replica has both versions, which of its rows counts:
@@ -177,13 +345,17 @@
 	}
 	decider.scan(view)
 	isOpen := map[string]bool{}
+	holdsAny := decider.holdsAny(view, call.Model)
 	for region, trial := range trials {
+		if holdsAny {
+			olds[region] = settings.AnyVersion
+		}
 		isOpen[region] = decider.opens(view, call, region, olds[region], trial)
 	}
 	out := free[:0:0]
 	for _, one := range free {
 		opened := isOpen[one.place.Region]
-		if one.row.Trial && !opened || !one.row.Trial && opened && trialled[one.row.Replica] {
+		if one.row.Trial && !opened || !one.row.Trial && opened && (holdsAny || trialled[one.row.Replica]) {
 			continue
 		}
 		out = append(out, one)
@@ -215,7 +387,17 @@
 // late tells whether the dispatch has waited too long for a piece.
 func (decider *Decider) late(selection *Selection, now time.Duration) bool {
 	since, waits := decider.judging.waiting[selection]
-	return waits && now-since > decider.overdue(selection)
+	return waits && now-since > selection.Allowance+decider.overdue(selection)
+}
+
+// learnedEnough is from how many first pieces on it is known what is usual.
+const learnedEnough = 32
+
+// slow tells whether a first piece took plainly longer than is usual for the kind.
+func (decider *Decider) slow(selection *Selection, first time.Duration) bool {
+	key := selection.call.Model + "/" + selection.call.Kind
+	usual := decider.judging.usual[key]
+	return decider.judging.learned[key] >= learnedEnough && float64(first) > standing.SlowUsual*float64(usual)
 }
 
 // learn smooths what is usual.
@@ -223,6 +405,7 @@
 	key := selection.call.Model + "/" + selection.call.Kind
 	usual := decider.judging.usual[key]
 	decider.judging.usual[key] = usual + (first-usual)/16
+	decider.judging.learned[key]++
 }
 
 // recent are the last seconds' outcomes, with those that are overdue by now.
--- /dev/null
+++ b/decide/open_test.go
@@ -0,0 +1,193 @@
+package decide_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"swifttiller/decide"
+	"swifttiller/permit"
+	"swifttiller/settings"
+	"swifttiller/standing"
+	"swifttiller/verdict"
+)
+
+// openView is a placement of any version, with r1 to r3 at v1 and r4 and r5 as given.
+func openView(newer func(row *standing.Row), older func(row *standing.Row)) *permit.View {
+	out := view([]string{"x"}, 64, false)
+	tree, problems := settings.Parse([]byte(strings.NewReplacer(`"version":"v1"`, `"version":"any"`, `"queue_ms":400`, `"queue_ms":400,"stall_ms":2000`).Replace(document)))
+	if len(problems) > 0 {
+		panic(problems)
+	}
+	out.Tree = tree
+	one := out.Standings["a"]
+	if older != nil {
+		for index := range one.Rows {
+			older(&one.Rows[index])
+		}
+	}
+	for _, id := range []string{"r4", "r5"} {
+		one.Places = append(one.Places, standing.Place{ID: id, Address: id, Zone: "a-1", Region: "a", Capacity: 64, Whole: 64, Warm: 1, Credits: map[string]int{"x": 64}})
+		row := standing.Row{Replica: id, Model: "m", Version: "v2"}
+		newer(&row)
+		one.Rows = append(one.Rows, row)
+	}
+	out.Standings["a"] = one
+	return out
+}
+
+func onTrial(row *standing.Row) { row.Trial = true }
+
+// serves has one request of the kind served, with its first piece after the time that
+// is given for the version, and tells where it went; a time below zero fails it.
+func serves(t *testing.T, bench *bench, kind string, first func(version string) time.Duration) *decide.Selection {
+	t.Helper()
+	var selection *decide.Selection
+	bench.Node("x").Go(func() {
+		one := call("q")
+		one.Kind = kind
+		var mishap *verdict.Mishap
+		if selection, mishap = bench.deciders["x"].Select(one, nil); mishap != nil {
+			t.Errorf("declined: %v", mishap)
+			return
+		}
+		if took := first(selection.Version); took < 0 {
+			bench.deciders["x"].Release(selection, &verdict.Mishap{Verdict: verdict.MayHaveRun, Code: "replica_failed"}, 0)
+		} else {
+			bench.deciders["x"].Release(selection, nil, took)
+		}
+	})
+	bench.Run(10 * time.Millisecond)
+	return selection
+}
+
+func steady(span time.Duration) func(string) time.Duration {
+	return func(string) time.Duration { return span }
+}
+
+// TestOpenTrialKeepsItsShare: of all requests from the trial's beginning on, never more
+// than the small share goes to it; a kind that comes seldom is tried early; and what it
+// gets goes to few replicas.
+func TestOpenTrialKeepsItsShare(t *testing.T) {
+	bench := newBench("x")
+	bench.now = openView(onTrial, nil)
+	mine, seldom, seldomAll := 0, 0, 0
+	where := map[string]int{}
+	for whole := 1; whole <= 2000; whole++ {
+		kind := "often"
+		if whole%20 == 0 {
+			kind = "seldom"
+			seldomAll++
+		}
+		selection := serves(t, bench, kind, steady(100*time.Millisecond))
+		if selection.Trial != (selection.Version == "v2") {
+			t.Fatalf("%s was given as a trial: %v", selection.Version, selection.Trial)
+		}
+		if selection.Trial {
+			mine++
+			where[selection.Replica]++
+			if kind == "seldom" {
+				seldom++
+			}
+		}
+		if float64(mine) > 0.08*float64(whole)+0.001 {
+			t.Fatalf("%d of the first %d went to the trial", mine, whole)
+		}
+		if whole == 60 && seldom == 0 {
+			t.Error("no request of the kind that comes seldom was tried among the first 60")
+		}
+	}
+	if mine < 140 || len(where) != 1 || float64(seldom) > 0.31*float64(seldomAll)+1 || seldom < 20 {
+		t.Errorf("the trial got %d, %d of the %d that come seldom, at %v", mine, seldom, seldomAll, where)
+	}
+}
+
+// TestOpenTrialIsShutByItsOwnCounts: opensTrial and barred, as another way of selecting
+// uses them.
+func TestOpenTrialIsShutByItsOwnCounts(t *testing.T) {
+	bench := newBench("x")
+	bench.now = openView(onTrial, nil)
+	decider := bench.deciders["x"]
+	if !decider.Barred(bench.now, "a", "m", "v2") || decider.Barred(bench.now, "a", "m", "v1") || decider.Barred(bench.now, "b", "m", "v1") {
+		t.Error("the version on trial, and it alone, is barred")
+	}
+	isOpened, failed := 0, 0
+	for range 600 {
+		version, open := decider.OpensTrial(bench.now, call("q"), "a")
+		if version != "v2" {
+			t.Fatalf("%q is on trial", version)
+		}
+		if _, elsewhere := decider.OpensTrial(bench.now, call("q"), "b"); elsewhere {
+			t.Fatal("a trial is open where there is none")
+		}
+		if open {
+			isOpened++
+		}
+		serves(t, bench, "k", func(version string) time.Duration {
+			if version == "v2" {
+				failed++
+				return -1
+			}
+			return 100 * time.Millisecond
+		})
+	}
+	if isOpened == 0 || failed < 3 || failed > 6 {
+		t.Errorf("opened %d times, failed %d", isOpened, failed)
+	}
+	bench.now = openView(func(*standing.Row) {}, func(row *standing.Row) { row.Back = true })
+	if !decider.Barred(bench.now, "a", "m", "v2") || decider.Barred(bench.now, "a", "m", "v1") {
+		t.Error("one that failed is gone back from, if its move is watched")
+	}
+	if selection := serves(t, bench, "k", steady(time.Millisecond)); selection.Version != "v1" {
+		t.Errorf("%s was given", selection.Version)
+	}
+}
+
+// TestSeveralTimesSlowerIsNoticed: with first pieces of 100 ms and a stall_ms of 2000, a
+// version that takes three times as long has shown it within 50 answers; one that takes
+// as long, or longer by what was known beforehand, has not.
+func TestSeveralTimesSlowerIsNoticed(t *testing.T) {
+	for _, one := range []struct {
+		took, allowance time.Duration
+		part            int // every how many of its answers
+		want            bool
+	}{{300 * time.Millisecond, 0, 1, true}, {300 * time.Millisecond, 0, 3, true}, {500 * time.Millisecond, 0, 1, true}, {100 * time.Millisecond, 0, 1, false}, {180 * time.Millisecond, 0, 1, false}, {400 * time.Millisecond, 300 * time.Millisecond, 1, false}} {
+		bench := newBench("x")
+		bench.now = openView(onTrial, nil)
+		decider := bench.deciders["x"]
+		answers, isNoticed := 0, false
+		for turn := 0; turn < 2000 && answers < 50 && !isNoticed; turn++ {
+			took := 80*time.Millisecond + time.Duration(turn%5)*10*time.Millisecond
+			bench.Node("x").Go(func() {
+				selection, mishap := decider.Select(call("q"), nil)
+				if mishap != nil {
+					t.Errorf("declined: %v", mishap)
+					return
+				}
+				if selection.Version == "v2" {
+					if answers++; answers%one.part == 0 {
+						took = one.took
+					}
+					selection.Allowance = one.allowance
+				}
+				decider.Release(selection, nil, took)
+			})
+			bench.Run(5 * time.Millisecond)
+			var mine, other standing.Outcome
+			for _, outcome := range decider.Report().Total {
+				if outcome.Version == "v2" {
+					mine.Add(outcome)
+				} else {
+					other.Add(outcome)
+				}
+			}
+			isNoticed = standing.Slower(mine, other) || standing.PlainVersion(mine, other)
+		}
+		if isNoticed != one.want {
+			t.Errorf("%+v: noticed %v after %d answers", one, isNoticed, answers)
+		} else {
+			t.Log(fmt.Sprintf("%+v: noticed %v after %d answers", one, isNoticed, answers))
+		}
+	}
+}
--- a/fleet/http.go
+++ b/fleet/http.go
@@ -125,6 +125,8 @@
 	Address   string `json:"address"`
 	Zone      string `json:"zone"`
 	State     string `json:"state"`
+	Model     string `json:"model,omitempty"`
+	Version   string `json:"version,omitempty"`
 	leavingAt time.Duration
 }
 
@@ -138,11 +140,16 @@
 
 // Add lists a replica from now on, after the lag.
 func (platform *Platform) Add(region, id, address, zone string) {
+	platform.AddServing(region, id, address, zone, "", "")
+}
+
+// AddServing is Add for a replica of which the list tells what it serves.
+func (platform *Platform) AddServing(region, id, address, zone, model, version string) {
 	at := platform.now() + platform.Lag
 	if platform.now() == 0 {
 		at = 0
 	}
-	platform.entries = append(platform.entries, entry{at: at, until: Never, leavingAt: Never, Region: region, ID: id, Address: address, Zone: zone})
+	platform.entries = append(platform.entries, entry{at: at, until: Never, leavingAt: Never, Region: region, ID: id, Address: address, Zone: zone, Model: model, Version: version})
 }
 
 // Leave marks a replica as leaving, after the lag.
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -138,7 +138,7 @@
 	for _, options := range plan.Replicas {
 		park.zones[options.ID] = options.Zone
 		park.StartReplica(options)
-		park.Platform.Add(Region(options.Zone), options.ID, options.ID, options.Zone)
+		park.List(options)
 	}
 	for _, word := range plan.Datas {
 		name, zone := split(word)
@@ -247,6 +247,15 @@
 	park.Start(options.ID, func(*sim.Node) {})
 }
 
+// List has the platform list a replica from now on.
+func (park *Park) List(options ReplicaOptions) {
+	model, version := "", ""
+	if options.Mute {
+		model, version, _ = strings.Cut(options.Held[0], "/")
+	}
+	park.Platform.AddServing(Region(options.Zone), options.ID, options.ID, options.Zone, model, version)
+}
+
 // Crash kills any process; its connections break.
 func (park *Park) Crash(name string) {
 	park.Kill(name)
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -57,6 +57,9 @@
 	Slower float64
 	// Held are versions loaded from the start, as model/version.
 	Held []string
+	// Mute makes its probes name no versions: the platform's list tells what it
+	// serves, the first of Held.
+	Mute bool
 }
 
 // Way is how a version fails.
@@ -165,6 +168,9 @@
 	out := map[string]any{"boot": one.Boot, "leaving": one.Leaving}
 	list := []version{}
 	for name, state := range one.versions {
+		if one.Mute {
+			break
+		}
 		model, at, _ := strings.Cut(name, "/")
 		list = append(list, version{model, at, state})
 	}
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -16,6 +16,9 @@
 type Listed struct {
 	ID, Address, Zone string
 	Leaving           bool
+	// Model and Version are what it serves by the platform's own word; empty when that
+	// does not say, and only the replica can.
+	Model, Version string
 }
 
 // Limited is the platform's word to come back later.
@@ -70,7 +73,7 @@
 	var out []Listed
 	for _, one := range list.Array() {
 		// The strings are cloned: the body's buffer is the library's.
-		entry := Listed{ID: clone(one.Get("id")), Address: clone(one.Get("address")), Zone: clone(one.Get("zone")), Leaving: one.Get("state").String() == "leaving"}
+		entry := Listed{ID: clone(one.Get("id")), Address: clone(one.Get("address")), Zone: clone(one.Get("zone")), Model: clone(one.Get("model")), Version: clone(one.Get("version")), Leaving: one.Get("state").String() == "leaving"}
 		if entry.ID != "" && entry.Address != "" {
 			out = append(out, entry)
 		}
--- a/rollout/objects.go
+++ b/rollout/objects.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,8 @@
 	// region goes on with that run, and no automatic one takes the version up,
 	// until a promote.
 	Failed map[string]string `json:"failed,omitempty"`
+	// Order is the newest roll-out under a term, where the placement holds any version.
+	Order *Order `json:"order,omitempty"`
 	// Wanted is, by region, the placement's version that was last acted on, so
 	// that automatic roll-outs follow changes and do not fight operators.
 	Wanted map[string]string `json:"wanted"`
@@ -59,6 +62,10 @@
 	// Name makes nonces unique.
 	Name string
 	made atomic.Uint64
+	// orders are when this daemon first saw an order, by its id, under guard, which
+	// nothing waits under.
+	guard  sync.Mutex
+	orders map[string]time.Duration
 }
 
 // Model reads a model's object.
@@ -67,7 +74,11 @@
 	if err != nil {
 		return Model{}, err
 	}
-	return OpenModel(value)
+	out, err := OpenModel(value)
+	if err == nil && out.Order != nil {
+		objects.seen(out.Order.ID)
+	}
+	return out, err
 }
 
 // OpenModel reads a model's object from its register's value.
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -24,6 +24,10 @@
 	Automatic bool   `json:"automatic"`
 	// Wanted is set for automatic runs: the placement's version acted on.
 	Wanted string `json:"wanted,omitempty"`
+	// Over is the term of an order that has one, and Proved says that it asks for the
+	// version that the last one brought.
+	Over   time.Duration `json:"over,omitempty"`
+	Proved bool          `json:"proved,omitempty"`
 }
 
 // Plainly ends a run because its version's failures are plain.
@@ -50,6 +54,11 @@
 	Incarnations map[string]string
 	// Routes are the region's, as last read.
 	Routes map[string]standing.Route
+	// Standing is the region's as last written; nil when it is not known.
+	Standing *standing.Standing
+	// Watched is for how long this daemon has listened to the others' sessions; what
+	// Daemons does not show after one session bound is not there.
+	Watched time.Duration
 }
 
 // Runner turns a region's runs and brings its replicas to the wanted state.
@@ -69,6 +78,10 @@
 	began map[string]time.Duration
 	// guarded is, by model, the route that guard looks at.
 	guarded map[string]guarded
+	// recorded is how much of a run's term was over when this runner took it, and shown
+	// the standing that first showed the run's move.
+	recorded map[string]time.Duration
+	shown    map[string]uint64
 }
 
 // guarded is a route that no run is on, and the counts that came before it and say
@@ -104,6 +117,7 @@
 func (runner *Runner) Turn(scene Scene) error {
 	if runner.logs == nil {
 		runner.logs, runner.orders, runner.began, runner.guarded = map[string]*workflow.Log{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]guarded{}
+		runner.recorded, runner.shown = map[string]time.Duration{}, map[string]uint64{}
 	}
 	var failed error
 	for _, model := range scene.Tree.Models(scene.Region) {
@@ -116,12 +130,18 @@
 
 func (runner *Runner) turn(scene Scene, model string) error {
 	key := Key(model, scene.Region)
+	placement, _ := scene.Tree.Placement(model, scene.Region)
 	log := runner.logs[key]
 	if log == nil || log.Run().Fence != scene.Duty {
 		var err error
 		if log, err = runner.Book.Resume(key, scene.Duty); err != nil {
 			return err
 		}
+		if log == nil && placement.Any() {
+			if log, err = runner.term(scene, model); err != nil {
+				return err
+			}
+		}
 	}
 	if log != nil {
 		runner.logs[key] = log
@@ -134,7 +154,9 @@
 			var plainly *Plainly
 			isPlain := errors.As(err, &plainly)
 			err = nil
-			if contents, broken := read(log); broken == nil { // else it never began
+			if contents, broken := read(log); broken == nil && contents.Over > 0 {
+				err = runner.takeBack(scene, log.Run().ID, contents, terminal.Reason, isPlain)
+			} else if broken == nil { // else it never began
 				err = runner.abandon(scene, work{log.Run().ID, log.Recorded("route", nil), log.Recorded("trial-order", nil) || log.Recorded("order", nil)}, contents, isPlain)
 			}
 			if err == nil {
@@ -143,18 +165,26 @@
 		}
 		if !errors.Is(err, workflow.ErrWait) {
 			delete(runner.logs, key) // finished, or to be read anew
-			maps.DeleteFunc(runner.began, func(at string, _ time.Duration) bool {
+			isOver := func(at string) bool {
 				return log.Run().State != workflow.Running && strings.HasPrefix(at, key+"|"+log.Run().ID+"|")
-			})
+			}
+			maps.DeleteFunc(runner.began, func(at string, _ time.Duration) bool { return isOver(at) })
+			maps.DeleteFunc(runner.recorded, func(at string, _ time.Duration) bool { return isOver(at) })
+			maps.DeleteFunc(runner.shown, func(at string, _ uint64) bool { return isOver(at) })
 		}
 		if err != nil && !errors.Is(err, workflow.ErrWait) {
 			return err
 		}
+	} else if placement.Any() {
+		return nil // no version is ordered, guarded or brought about here
 	} else if isBack, err := runner.guard(scene, model); err != nil || isBack {
 		return err
 	} else if err := runner.automatic(scene, model); err != nil {
 		return err
 	}
+	if placement.Any() {
+		return nil
+	}
 	if err := runner.Objects.Due(model, scene.Region, scene.Duty, scene.Tree.Span("archive_ms", scene.Region)); err != nil {
 		return err
 	}
@@ -201,6 +231,12 @@
 	if err != nil {
 		return &workflow.Terminal{Reason: err.Error()}
 	}
+	if contents.Over > 0 {
+		return runner.within(scene, log, contents)
+	}
+	if placement, _ := scene.Tree.Placement(contents.Model, scene.Region); placement.Any() {
+		return &workflow.Terminal{Reason: "the placement holds any version, of which none is loaded by order; a roll-out there needs a term"}
+	}
 	var base struct{ Old string }
 	if err := log.Step("validate", func() (any, error) {
 		runner.point("validate")
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -401,6 +401,13 @@
 // placement says otherwise.
 const DefaultCapacity = 8
 
+// AnyVersion is the version of a placement that leaves open which weights replicas
+// hold: whichever they say that they have.
+const AnyVersion = "any"
+
+// Any tells whether the placement leaves the version open.
+func (placement Placement) Any() bool { return placement.Version == AnyVersion }
+
 // Placement is a model's at a place; false when it is not placed there.
 func (tree *Tree) Placement(model, place string) (Placement, bool) {
 	leaves := tree.leaves(place)
--- /dev/null
+++ b/standing/open_test.go
@@ -0,0 +1,114 @@
+package standing_test
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+
+	"swifttiller/settings"
+	"swifttiller/standing"
+)
+
+// openInput is a region of three replicas at v1, two at v2 and one at v3.
+func openInput(route standing.Route) standing.Input {
+	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":8}}},"regions":{"a":{"zones":{"a-1":{},"a-2":{}}},"b":{"zones":{"b-1":{}}}}}`))
+	if len(problems) > 0 {
+		panic(problems)
+	}
+	input := standing.Input{Region: "a", Tree: tree, Evacuated: map[string]bool{}, Routes: map[string]standing.Route{"m": route}}
+	for index, version := range []string{"v1", "v1", "v1", "v2", "v2", "v3"} {
+		zone := "a-1"
+		if index == 2 || index == 4 {
+			zone = "a-2"
+		}
+		input.Replicas = append(input.Replicas, standing.Replica{ID: fmt.Sprint("r", index), Zone: zone, Region: "a", Alive: true, Held: map[string]string{"m/" + version: standing.Ready, "mm/v9": standing.Ready}})
+	}
+	return input
+}
+
+// given writes the rows of a standing: ! is on trial, < stands by.
+func given(input standing.Input) string {
+	var rows []string
+	for _, row := range standing.Compute(input).Rows {
+		mark := ""
+		if row.Trial {
+			mark = "!"
+		}
+		if row.Back {
+			mark += "<"
+		}
+		rows = append(rows, row.Replica+mark+row.Version)
+	}
+	sort.Strings(rows)
+	return strings.Join(rows, " ")
+}
+
+// TestRowsOfAnyVersion: what each replica may get where the placement holds any version.
+func TestRowsOfAnyVersion(t *testing.T) {
+	fail := func(mishaps, slow int) func(*standing.Input) {
+		return func(input *standing.Input) {
+			input.Daemons = []standing.Daemon{{Name: "d", Region: "a", Zone: "a-1", Report: standing.Report{Recent: []standing.Outcome{
+				{Replica: "r0", Model: "m", Version: "v1", Kind: "k", OK: 40}, {Replica: "r5", Model: "m", Version: "v3", Kind: "k", OK: 40},
+				{Replica: "r3", Model: "m", Version: "v2", Kind: "k", OK: 10, Mishaps: mishaps, Slow: slow}}}}}
+		}
+	}
+	without := func(versions ...string) func(*standing.Input) {
+		return func(input *standing.Input) {
+			input.Replicas = slices.DeleteFunc(input.Replicas, func(one standing.Replica) bool {
+				return slices.Contains(versions, one.Versions("m")[0])
+			})
+		}
+	}
+	for _, one := range []struct {
+		name   string
+		route  standing.Route
+		revise func(*standing.Input)
+		want   string
+	}{
+		{"no roll-out: equals", standing.Route{}, nil, "r0v1 r1v1 r2v1 r3v2 r4v2 r5v3"},
+		{"after an older one: equals", standing.Route{Version: "v1"}, nil, "r0v1 r1v1 r2v1 r3v2 r4v2 r5v3"},
+		{"a trial", standing.Route{Version: "v1", Trial: "v2"}, nil, "r0v1 r1v1 r2v1 r3!v2 r4!v2 r5v3"},
+		{"a trial that fails", standing.Route{Trial: "v2"}, fail(4, 0), "r0v1 r1v1 r2v1 r5v3"},
+		{"a trial that is slower", standing.Route{Trial: "v2"}, fail(0, 6), "r0v1 r1v1 r2v1 r5v3"},
+		{"a trial that does well", standing.Route{Trial: "v2"}, fail(1, 1), "r0v1 r1v1 r2v1 r3!v2 r4!v2 r5v3"},
+		{"a trial with nothing beside it", standing.Route{Trial: "v2"}, without("v1", "v3"), "r3v2 r4v2"},
+		{"moved and watched", standing.Route{Version: "v2", Watched: true, Left: []string{"v1", "v3"}}, nil, "r0<v1 r1<v1 r2<v1 r3v2 r4v2 r5<v3"},
+		{"done", standing.Route{Version: "v2", Left: []string{"v1", "v3"}}, nil, "r3v2 r4v2"},
+		{"done, and another version comes", standing.Route{Version: "v2", Left: []string{"v1"}}, nil, "r3v2 r4v2 r5v3"},
+		{"back", standing.Route{Banned: []string{"v2"}}, nil, "r0v1 r1v1 r2v1 r5v3"},
+		{"back, and nothing else is there", standing.Route{Banned: []string{"v2"}}, without("v1", "v3"), ""},
+		{"one leaves and one is dark", standing.Route{Trial: "v2"}, func(input *standing.Input) {
+			input.Replicas[0].Leaving, input.Replicas[3].Alive = true, false
+		}, "r1v1 r2v1 r4!v2 r5v3"},
+		{"a zone is evacuated", standing.Route{Trial: "v2"}, func(input *standing.Input) { input.Evacuated["a-2"] = true }, "r0v1 r1v1 r3!v2 r5v3"},
+		{"one is loading, and one stands in no zone of it", standing.Route{}, func(input *standing.Input) {
+			input.Replicas[0].Held["m/v1"], input.Replicas[1].Zone = standing.Loading, "b-1"
+		}, "r2v1 r3v2 r4v2 r5v3"},
+	} {
+		input := openInput(one.route)
+		if one.revise != nil {
+			one.revise(&input)
+		}
+		if got := given(input); got != one.want {
+			t.Errorf("%s: %s, not %s", one.name, got, one.want)
+		}
+	}
+}
+
+// TestWorse: what few mishaps say against a version before all traffic goes to it.
+func TestWorse(t *testing.T) {
+	for _, one := range []struct {
+		ok, mishaps     int
+		others, failing int
+		want            bool
+	}{
+		{20, 0, 1000, 0, false}, {98, 2, 1000, 0, false}, {95, 5, 1000, 0, true}, {17, 3, 1000, 0, true},
+		{95, 5, 950, 50, false}, {80, 20, 950, 50, true}, {992, 8, 1000, 0, false}, {960, 40, 1000, 0, true},
+	} {
+		if got := standing.Worse(standing.Outcome{OK: one.ok, Mishaps: one.mishaps}, standing.Outcome{OK: one.others, Mishaps: one.failing}); got != one.want {
+			t.Errorf("%+v: %v", one, got)
+		}
+	}
+}
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -22,6 +23,9 @@
 	// the dispatch at all. Late are those whose first piece came, or is still to
 	// come, far later than a user waits; the whole ones of them are OK too.
 	OK, Mishaps, Unreached, Late int
+	// Slow are those OK ones whose first piece took SlowUsual times what is usual for
+	// the kind or more, whether or not a user minds.
+	Slow int
 	// Full are those that the replica turned away, as it had enough to do.
 	Full int
 	// Least is the shortest time to the first piece of the OK ones.
@@ -42,6 +46,7 @@
 	outcome.Mishaps += other.Mishaps
 	outcome.Unreached += other.Unreached
 	outcome.Late += other.Late
+	outcome.Slow += other.Slow
 	outcome.Full += other.Full
 	if other.Least > 0 && (outcome.Least == 0 || other.Least < outcome.Least) {
 		outcome.Least = other.Least
@@ -134,6 +139,9 @@
 	// Watched since the move until the run's watch is over: the version that was
 	// left stands by.
 	Watched bool
+	// Left are, where a placement holds any version, those that a roll-out has moved
+	// away from. They get nothing until no replica of theirs is listed any more.
+	Left []string
 }
 
 // Bears tells whether the version is banned here.
@@ -292,17 +300,15 @@
 	models := input.Tree.Models(input.Region)
 	for _, model := range models {
 		route := input.Routes[model]
+		if placement, _ := input.Tree.Placement(model, input.Region); placement.Any() {
+			rows = append(rows, openRows(input, model, route, replicas, recent)...)
+			continue
+		}
 		trialStands := route.Trial != "" && !TrialFails(model, route, recent)
 		for _, replica := range replicas {
-			if !replica.Alive || replica.Leaving || input.Evacuated[replica.Zone] {
-				continue
-			}
-			if zone, known := input.Tree.RegionOf(replica.Zone); !known || zone != input.Region {
+			if !replica.Alive || replica.Leaving || input.Evacuated[replica.Zone] || !input.holds(model, replica) {
 				continue
 			}
-			if _, placed := input.Tree.Placement(model, replica.Zone); !placed {
-				continue // the group that holds it is another zone of the region
-			}
 			add := func(version string, trial, back bool) {
 				if version == "" || replica.Held[model+"/"+version] != Ready {
 					return
@@ -321,7 +327,100 @@
 	return rows
 }
 
-// TrialFails tells whether a trial version's failures are plain on any kind.
+// holds tells whether the replica stands in a zone of the region that the model is
+// placed in; the group that holds it may be one zone of several.
+func (input Input) holds(model string, replica Replica) bool {
+	if region, known := input.Tree.RegionOf(replica.Zone); !known || region != input.Region {
+		return false
+	}
+	_, placed := input.Tree.Placement(model, replica.Zone)
+	return placed
+}
+
+// Versions are those of the model that the replica has ready, in order.
+func (replica Replica) Versions(model string) (versions []string) {
+	for name, state := range replica.Held {
+		if version, isOf := strings.CutPrefix(name, model+"/"); isOf && state == Ready {
+			versions = append(versions, version)
+		}
+	}
+	sort.Strings(versions)
+	return versions
+}
+
+// openRows lists what each replica may get of a model whose placement holds any
+// version: all versions as equals, but for what a roll-out says of them. The one on
+// trial has trial rows; while the move is watched, those that were left stand by; one
+// that failed, or was left for good, has none.
+//
+// A version on trial is served as any other where no replica of another is listed in
+// the region: there is nothing to shift traffic from.
+func openRows(input Input, model string, route Route, replicas []Replica, recent map[Outcome]Outcome) (rows []Row) {
+	others := false // whether there are versions beside the one on trial
+	for _, replica := range replicas {
+		if replica.Leaving || !input.holds(model, replica) {
+			continue
+		}
+		for _, version := range replica.Versions(model) {
+			others = others || version != route.Trial && !route.Bears(version) && !slices.Contains(route.Left, version)
+		}
+	}
+	trialStands := !TrialFails(model, Route{Version: settings.AnyVersion, Trial: route.Trial}, recent)
+	for _, replica := range replicas {
+		if !replica.Alive || replica.Leaving || input.Evacuated[replica.Zone] || !input.holds(model, replica) {
+			continue
+		}
+		for _, version := range replica.Versions(model) {
+			row := Row{Replica: replica.ID, Model: model, Version: version}
+			switch isLeft := slices.Contains(route.Left, version) || route.Watched && version != route.Version; {
+			case route.Bears(version), isLeft && !route.Watched, version == route.Trial && !trialStands:
+				continue
+			case isLeft:
+				row.Back = true
+			case version == route.Trial:
+				row.Trial = others
+			}
+			row.Deny = denied(replica.ID, model, version, recent)
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// SlowUsual is from how many times the usual time to the first piece on an answer
+// counts as slow; SlowAnswers and SlowShare say from how many of them on, and at which
+// share, a version is slower than the others.
+const (
+	SlowUsual   = 2.5
+	SlowAnswers = 5
+	SlowShare   = 0.2
+)
+
+// Slower tells whether a version's answers come plainly slower than the others',
+// though each may come in time.
+func Slower(mine, other Outcome) bool {
+	if mine.Slow < SlowAnswers || mine.OK == 0 || other.OK < 4*SlowAnswers {
+		return false
+	}
+	base := float64(other.Slow) / float64(other.OK)
+	return float64(mine.Slow)/float64(mine.OK) > max(SlowShare, 3*base)
+}
+
+// Worse tells whether a version's mishaps are more than chance and the others' share
+// of them explain, however small their own share: what a version is judged by before
+// all traffic goes to it. One in a hundred is held against nobody.
+func Worse(mine, other Outcome) bool {
+	mine, other = mine.strictly(), other.strictly()
+	share := 0.01
+	if total := other.OK + other.Mishaps; total >= 4*SlowAnswers {
+		share = max(share, 1.5*float64(other.Mishaps)/float64(total))
+	}
+	expected := share * float64(mine.OK+mine.Mishaps)
+	return mine.Mishaps >= PlainMishaps && float64(mine.Mishaps) > expected+3*math.Sqrt(expected)
+}
+
+// TrialFails tells whether a trial version's failures are plain on any kind, against
+// those of the route's version; against all other versions where that is AnyVersion.
 func TrialFails(model string, route Route, recent map[Outcome]Outcome) bool {
 	sums := map[[2]string]Outcome{}
 	for key, one := range recent {
@@ -332,6 +431,22 @@
 			sums[at] = sum
 		}
 	}
+	if route.Version == settings.AnyVersion {
+		others := map[string]Outcome{}
+		for at, one := range sums {
+			if at[0] != route.Trial {
+				sum := others[at[1]]
+				sum.Add(one)
+				others[at[1]] = sum
+			}
+		}
+		for at, mine := range sums {
+			if at[0] == route.Trial && (PlainVersion(mine, others[at[1]]) || Slower(mine, others[at[1]])) {
+				return true
+			}
+		}
+		return false
+	}
 	for at, mine := range sums {
 		if at[0] == route.Trial && PlainVersion(mine, sums[[2]string{route.Version, at[1]}]) {
 			return true
