--- a/decide/route.go
+++ b/decide/route.go
@@ -194,6 +194,7 @@
 		for at := range one.Places {
 			index[one.Places[at].ID] = &one.Places[at]
 		}
+		trial, isOpen := decider.opensTrial(view, &routed.call, region)
 		for at := range one.Rows {
 			row := &one.Rows[at]
 			place := index[row.Replica]
@@ -203,7 +204,7 @@
 			if _, isPast := decider.past[row.Replica]; isPast {
 				continue
 			}
-			if !decider.opened(view, routed, row, region) {
+			if isTrial := trial != "" && row.Version == trial; isTrial != isOpen || !isTrial && decider.barred(view, region, row.Model, row.Version) {
 				continue
 			}
 			seat := decider.engine(place.ID)
@@ -243,12 +244,6 @@
 	return best, next
 }
 
-// opened tells whether the row's version may get the request: one on trial only
-// within its share, and none that plainly fails.
-func (decider *Decider) opened(view *permit.View, routed *Routed, row *standing.Row, region string) bool {
-	return !row.Trial && !row.Back
-}
-
 // paced gives how long a replica is to be left alone, as it is cold and this daemon's
 // part of what it bears then is used up; zero when it may get a request.
 //
@@ -383,7 +378,7 @@
 	selection := &Selection{
 		Replica: best.row.Replica, Address: best.place.Address, Version: best.row.Version, Boot: best.place.Boot, Region: best.place.Region,
 		Serial: view.Serial, Cost: 1, Trial: best.row.Trial, Spill: best.place.Region != decider.Self.Region, call: &routed.call,
-		Foreseen: best.foreseen, unread: best.unread, routed: routed, sent: now, seat: seat,
+		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat,
 	}
 	seat.running++
 	seat.reading += best.unread
@@ -398,7 +393,7 @@
 	}
 	decider.occupy(selection, 1)
 	decider.counts.Dispatches++
-	decider.accrue(view, selection)
+	decider.dispatched(view, selection)
 	decider.judging.waiting[selection] = now
 	if selection.Trial {
 		decider.counts.Trials++
