--- a/controlplane/http.go
+++ b/controlplane/http.go
@@ -13,7 +13,7 @@
 
 // fail answers with a mishap.
 func fail(ctx *fiber.Ctx, err error) error {
-	mishap := answer(err)
+	mishap := Answer(err)
 	if mishap.ComeBack > 0 {
 		ctx.Set("Retry-After", strconv.Itoa(int((mishap.ComeBack+time.Second-1)/time.Second)))
 	}
@@ -75,6 +75,14 @@
 			expect = &serial
 		}
 		document := append([]byte{}, ctx.Body()...) // the body is the library's
+		if text := ctx.Query("expect_label"); text != "" {
+			label, err := strconv.ParseUint(text, 10, 64)
+			if err != nil || expect != nil {
+				return fail(ctx, verdict.Decline(400, "bad_request", "expect_label must be a label, and stand without expect", 0))
+			}
+			applied, err := daemon.Replace(document, label)
+			return reply(ctx, applied, err)
+		}
 		applied, err := daemon.Apply(document, expect, ctx.QueryBool("dry_run"))
 		return reply(ctx, applied, err)
 	})
--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -1,6 +1,9 @@
 package controlplane
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"swifttiller/duty"
 	"swifttiller/loop"
 	"swifttiller/permit"
@@ -27,12 +32,13 @@
 		Message: "the outcome is unknown: " + err.Error() + "; look at `controlplane show` and `controlplane handover status` to find out"}
 }
 
-// answer turns an error of the registers and objects into an operator's.
-func answer(err error) *verdict.Mishap {
+// Answer turns an error of the registers and objects into an operator's.
+func Answer(err error) *verdict.Mishap {
 	var mishap *verdict.Mishap
 	var stale *register.Stale
 	var problems settings.Problems
 	var decline *rollout.Decline
+	var outdated *Outdated
 	switch {
 	case err == nil:
 		return nil
@@ -42,6 +48,8 @@
 		return unknown(err)
 	case errors.As(err, &stale):
 		return verdict.Decline(409, "stale", fmt.Sprintf("expected serial %d, but the current serial is %d", stale.Want, stale.Have), 0)
+	case errors.As(err, &outdated):
+		return verdict.Decline(409, "stale", outdated.Error(), 0)
 	case errors.As(err, &problems):
 		return verdict.Decline(422, "invalid", problems.Error(), 0)
 	case errors.As(err, &decline):
@@ -65,7 +73,7 @@
 		return permit.Applied{}, nil
 	}
 	applied, err := daemon.Office.Change(expect, func(config permit.Config) (permit.Config, error) {
-		config.Document = document
+		config = config.Take(document, marked(tree))
 		// An evacuation outlasts configurations; a zone that is no more does not.
 		config.Evacuated = slices.DeleteFunc(slices.Clone(config.Evacuated), func(zone string) bool {
 			_, known := tree.RegionOf(zone)
@@ -76,9 +84,80 @@
 	return applied, err
 }
 
-// Evacuate takes a zone out of service, or hands it back.
+// Outdated is the answer to an order that builds on another label than the current one.
+type Outdated struct{ Have, Want uint64 }
+
+// Error is one line.
+func (outdated *Outdated) Error() string {
+	return fmt.Sprintf("expected the configuration labelled %d, but the current one is %d", outdated.Want, outdated.Have)
+}
+
+// marked is the mark of a document, by what the operator sent: that which it was made
+// from, if it says so.
+func marked(tree *settings.Tree) permit.Mark {
+	sent := tree.Document
+	if origin := gjson.GetBytes(sent, "origin"); origin.Exists() {
+		sent = []byte(origin.Raw)
+	}
+	var compact bytes.Buffer
+	_ = json.Compact(&compact, sent) // the tree was parsed from it
+	sum := sha256.Sum256(compact.Bytes())
+	return permit.Mark{Label: tree.Label(), Digest: hex.EncodeToString(sum[:12])}
+}
+
+// Replace makes a document with a label the configuration, if the current one's label is
+// the expected (0 when there is none), and returns once it is acknowledged. A document
+// that was taken already, as far as the configuration remembers, is acknowledged again,
+// also when others came since. Errors: settings.Problems, *Outdated, those of the
+// registers; register.ErrUncertain alone leaves open whether it was taken.
+func (daemon *Daemon) Replace(document []byte, expect uint64) (permit.Applied, error) {
+	tree, problems := settings.Parse(document)
+	if len(problems) > 0 {
+		return permit.Applied{}, problems
+	}
+	mark := marked(tree)
+	return daemon.settle(func(config permit.Config) (permit.Config, error) {
+		switch have := config.Label(); {
+		case slices.Contains(config.Taken, mark):
+			return config, permit.ErrSame
+		case expect != have:
+			return config, &Outdated{Have: have, Want: expect}
+		case mark.Label <= have:
+			return config, settings.Problems{{Path: "$.label", Reason: fmt.Sprintf("%d is not above the current %d", mark.Label, have)}}
+		}
+		return config.Take(document, mark), nil
+	})
+}
+
+// settle carries out a change that may be made twice: what brings about the same again
+// is ErrSame. So if the outcome of a first try can't be told, a second finds out: its
+// ballot is higher, so that the first either lies beneath what it reads, or never will.
+func (daemon *Daemon) settle(revise func(permit.Config) (permit.Config, error)) (permit.Applied, error) {
+	applied, err := daemon.Office.Change(nil, revise)
+	if !errors.Is(err, register.ErrUncertain) {
+		return applied, err
+	}
+	applied, err = daemon.Office.Change(nil, revise)
+	if errors.Is(err, register.ErrNoMajority) || errors.Is(err, register.ErrNoCore) {
+		err = register.ErrUncertain // of the second try alone it is known that it wrote nothing
+	}
+	return applied, err
+}
+
+// Current is the newest document, read at a majority, with its label; nil when there is
+// none yet.
+func (daemon *Daemon) Current() (document []byte, label uint64, err error) {
+	if err := daemon.Office.Refresh(); err != nil {
+		return nil, 0, err
+	}
+	_, config, _ := daemon.Office.Current()
+	return config.Document, config.Label(), nil
+}
+
+// Evacuate takes a zone out of service, or hands it back. Where the zone is so already,
+// that is acknowledged again.
 func (daemon *Daemon) Evacuate(zone string, back bool) (permit.Applied, error) {
-	return daemon.Office.Change(nil, func(config permit.Config) (permit.Config, error) {
+	return daemon.settle(func(config permit.Config) (permit.Config, error) {
 		if len(config.Document) == 0 {
 			return config, verdict.Decline(409, "no_configuration", "there is no configuration yet", 0)
 		}
@@ -86,9 +165,13 @@
 		if len(problems) > 0 {
 			return config, problems
 		}
-		if _, known := tree.RegionOf(zone); !known {
+		isOut := slices.Contains(config.Evacuated, zone)
+		if _, known := tree.RegionOf(zone); !known && !isOut {
 			return config, verdict.Decline(404, "no_zone", fmt.Sprintf("the configuration has no zone %q", zone), 0)
 		}
+		if isOut != back {
+			return config, permit.ErrSame
+		}
 		out := slices.DeleteFunc(slices.Clone(config.Evacuated), func(one string) bool { return one == zone })
 		if !back {
 			out = append(out, zone)
--- /dev/null
+++ b/fleet/replace_test.go
@@ -0,0 +1,435 @@
+package fleet_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"swifttiller/controlplane"
+	"swifttiller/fleet"
+	"swifttiller/permit"
+	"swifttiller/register"
+	"swifttiller/settings"
+	"swifttiller/sim"
+	"swifttiller/verdict"
+)
+
+// labelled is the plan's document under a label; the mark tells documents of one label
+// apart.
+func labelled(park *fleet.Park, label uint64, mark string) []byte {
+	return []byte(strings.Replace(park.Document, "{", fmt.Sprintf(`{"label":%d,"origin":{ "mark":%q},`, label, mark), 1))
+}
+
+// ordering is a calm fleet without callers.
+func ordering(seed uint64) *fleet.Park {
+	plan := quick()
+	plan.Callers = nil
+	return fleet.NewPark(seed, plan)
+}
+
+// replace has a control daemon replace the configuration.
+func replace(park *fleet.Park, at string, document []byte, expect uint64) (applied permit.Applied, err error) {
+	err = park.Do(at, 30*time.Second, func(daemon *controlplane.Daemon) (err error) {
+		applied, err = daemon.Replace(document, expect)
+		return err
+	})
+	return applied, err
+}
+
+// newest is what stands, as a majority tells it.
+func newest(t *testing.T, park *fleet.Park, at string) (label uint64, config permit.Config) {
+	t.Helper()
+	if err := park.Do(at, 10*time.Second, func(daemon *controlplane.Daemon) error {
+		document, read, err := daemon.Current()
+		if err != nil {
+			return err
+		}
+		_, config, _ = daemon.Office.Current()
+		if label = read; string(document) != string(config.Document) {
+			return errors.New("the document is not that of the configuration")
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return label, config
+}
+
+func isOutdated(err error, have, want uint64) bool {
+	var outdated *controlplane.Outdated
+	return errors.As(err, &outdated) && *outdated == controlplane.Outdated{Have: have, Want: want} && controlplane.Answer(err).Status == 409
+}
+
+func hasProblem(err error, path string) bool {
+	var problems settings.Problems
+	return errors.As(err, &problems) && len(problems) == 1 && problems[0].Path == path
+}
+
+// TestReplace: a document replaces the one that it builds on, once; a repeat of it is
+// acknowledged at any time and changes nothing.
+func TestReplace(t *testing.T) {
+	park := ordering(11)
+	defer park.Close()
+	third, fifth := labelled(park, 3, "a"), labelled(park, 5, "a")
+	first, err := replace(park, "c1", third, 0)
+	if err != nil || first.Holders == 0 {
+		t.Fatal(first, err)
+	}
+	if _, err := replace(park, "c1", third, 0); err != nil {
+		t.Error("order: a repeat at the same daemon:", err)
+	}
+	// Spaces are no difference; the order may come over any daemon.
+	if again, err := replace(park, "c2", []byte(strings.Replace(string(third), `{"label":3`, ` { "label" : 3 `, 1)), 0); err != nil || again.Serial != first.Serial {
+		t.Error("a repeat at another daemon:", again, err)
+	}
+	// What was sent counts, whatever else the daemon that was asked made of it.
+	made := strings.Replace(strings.Replace(string(third), `"limits":{`, `"limits":{"archive_ms":5,`, 1), `{ "mark"`, `{"mark"`, 1)
+	if again, err := replace(park, "c3", []byte(made), 0); err != nil || again.Serial != first.Serial {
+		t.Error("order: a repeat that was made otherwise:", again, err)
+	}
+	for what, isSo := range map[string]bool{
+		"built on none":  isOutdated(second(replace(park, "c2", labelled(park, 4, "b"), 0)), 3, 0),
+		"built on later": isOutdated(second(replace(park, "c2", labelled(park, 4, "b"), 4)), 3, 4),
+		"the same label": hasProblem(second(replace(park, "c2", labelled(park, 3, "b"), 3)), "$.label"),
+		"a lower label":  hasProblem(second(replace(park, "c2", labelled(park, 2, "b"), 3)), "$.label"),
+		"no label":       hasProblem(second(replace(park, "c2", []byte(park.Document), 3)), "$.label"),
+		"invalid":        hasProblem(second(replace(park, "c2", []byte(strings.Replace(string(labelled(park, 4, "b")), `"origin"`, `"oregano"`, 1)), 3)), "$.oregano"),
+	} {
+		if !isSo {
+			t.Error("order:", what, "is not told so")
+		}
+	}
+	if label, config := newest(t, park, "c3"); label != 3 || string(config.Document) != tight(third) {
+		t.Errorf("label %d, %s", label, config.Document)
+	}
+	if _, err := replace(park, "c3", fifth, 3); err != nil {
+		t.Error(err)
+	}
+	if _, err := replace(park, "c1", third, 0); err != nil {
+		t.Error("a repeat after a newer one:", err)
+	}
+	if label, config := newest(t, park, "c2"); label != 5 || string(config.Document) != tight(fifth) {
+		t.Errorf("label %d, %s", label, config.Document)
+	}
+	// What is remembered is bounded.
+	for label := uint64(6); label < 6+permit.Remembered; label++ {
+		if _, err := replace(park, "c1", labelled(park, label, "a"), label-1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	last := uint64(5 + permit.Remembered)
+	if _, config := newest(t, park, "c2"); len(config.Taken) != permit.Remembered || config.Taken[0].Label != 6 {
+		t.Errorf("remembered: %v", config.Taken)
+	}
+	if _, err := replace(park, "c2", labelled(park, 6, "a"), 5); err != nil {
+		t.Error("a repeat of the oldest that is remembered:", err)
+	}
+	if _, err := replace(park, "c2", third, 0); !isOutdated(err, last, 0) {
+		t.Error("a repeat of one that is forgotten:", err)
+	}
+	once(t, park)
+}
+
+func tight(document []byte) string {
+	var out bytes.Buffer
+	_ = json.Compact(&out, document)
+	return out.String()
+}
+
+// TestAcknowledgedInTime: a silent holder is waited for until its permit ends, once, and
+// no longer where the core can't be read meanwhile.
+func TestAcknowledgedInTime(t *testing.T) {
+	park := ordering(14)
+	defer park.Close()
+	park.Freeze("d1", time.Minute)
+	took := func(at string, label, expect uint64) time.Duration {
+		began := park.Now()
+		if _, err := replace(park, at, labelled(park, label, "a"), expect); err != nil {
+			t.Fatal(err)
+		}
+		return park.Now() - began
+	}
+	if first, again := took("c1", 1, 0), took("c1", 1, 0); first < time.Second || first > 2500*time.Millisecond || again > 100*time.Millisecond {
+		t.Errorf("order: acknowledged after %v, and again after %v", first, again)
+	}
+	park.At(300*time.Millisecond, func() { park.Split([]string{"c1"}, []string{"c2", "c3"}, true) })
+	if span := took("c1", 2, 1); span < time.Second || span > 2500*time.Millisecond {
+		t.Errorf("order: without a majority, acknowledged after %v", span)
+	}
+}
+
+func second[A, B any](_ A, b B) B { return b }
+
+// once checks that no serial was ever gone by with two contents.
+func once(t *testing.T, park *fleet.Park) {
+	t.Helper()
+	marks := map[uint64]uint64{}
+	for _, one := range park.Adopted {
+		if have, known := marks[one.Serial]; known && have != one.Mark {
+			t.Errorf("old config: seed %d: two contents are gone by under serial %d", park.Seed, one.Serial)
+		}
+		marks[one.Serial] = one.Mark
+	}
+}
+
+// TestEvacuationsAgain: an evacuation that stands is acknowledged again without a
+// change, and outlasts configurations.
+func TestEvacuationsAgain(t *testing.T) {
+	park := ordering(12)
+	defer park.Close()
+	evacuate := func(at, zone string, back bool) (applied permit.Applied, err error) {
+		err = park.Do(at, 30*time.Second, func(daemon *controlplane.Daemon) (err error) {
+			applied, err = daemon.Evacuate(zone, back)
+			return err
+		})
+		return applied, err
+	}
+	zone := park.Zone(park.Plan.Replicas[0].ID)
+	first, err := evacuate("c1", zone, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := evacuate("c2", zone, false); err != nil || again.Serial != first.Serial {
+		t.Error(again, err)
+	}
+	if _, err := replace(park, "c3", labelled(park, 2, "a"), 0); err != nil {
+		t.Error(err)
+	}
+	if _, config := newest(t, park, "c2"); len(config.Evacuated) != 1 || config.Evacuated[0] != zone {
+		t.Error("evacuated:", config.Evacuated)
+	}
+	for name, one := range park.Datas {
+		if !one.Holder.View().Evacuated[zone] {
+			t.Error(name, "does not know of the evacuation")
+		}
+	}
+	back, err := evacuate("c2", zone, true)
+	if err != nil || back.Serial <= first.Serial {
+		t.Error(back, err)
+	}
+	if again, err := evacuate("c1", zone, true); err != nil || again.Serial != back.Serial {
+		t.Error(again, err)
+	}
+	for _, isBack := range []bool{false, true} {
+		var mishap *verdict.Mishap
+		if _, err := evacuate("c1", "nowhere-1", isBack); !errors.As(err, &mishap) || mishap.Status != 404 {
+			t.Error("a zone that is not known:", err)
+		}
+	}
+}
+
+// TestReplaceRace: of two documents that build on the same one, exactly one is taken.
+func TestReplaceRace(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		park := ordering(seed)
+		errs := [2]error{errors.New("open"), errors.New("open")}
+		done := 0
+		labels := [2]uint64{7, 7 + seed%2} // one label, or two
+		for index, at := range []string{"c1", "c2"} {
+			park.At(time.Duration(park.Draw(int64(20*time.Millisecond))), func() {
+				park.Node(at).Go(func() {
+					_, errs[index] = park.Controls[at].Replace(labelled(park, labels[index], at), 0)
+					done++
+				})
+			})
+		}
+		if !park.Until(10*time.Second, func() bool { return done == 2 }) {
+			t.Fatalf("seed %d: no end", seed)
+		}
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		if errs[winner] != nil || !isOutdated(errs[1-winner], labels[winner], 0) {
+			t.Errorf("seed %d: %v, %v", seed, errs[0], errs[1])
+		}
+		if label, config := newest(t, park, "c3"); label != labels[winner] || !strings.Contains(string(config.Document), fmt.Sprintf(`"mark":"c%d"`, winner+1)) {
+			t.Errorf("seed %d: label %d stands, and c%d's was taken", seed, label, winner+1)
+		}
+		once(t, park)
+		park.Close()
+	}
+}
+
+// TestReplaceLostAnswer: a daemon that hears nothing any more in mid-write finds out what
+// became of it; a repeat elsewhere is acknowledged, and the document is taken once.
+func TestReplaceLostAnswer(t *testing.T) {
+	decided, open := 0, 0
+	for seed := uint64(1); seed <= 15; seed++ {
+		park := ordering(seed)
+		deaf := func(isDeaf bool) {
+			for _, other := range []string{"c2", "c3"} {
+				park.Cut(other, "c1", isDeaf)
+			}
+		}
+		document := labelled(park, 7, "a")
+		park.At(time.Duration(seed)*time.Millisecond, func() { deaf(true) })
+		span := 2300 * time.Millisecond // longer than one operation on a register
+		isLong := seed%3 == 0
+		if isLong {
+			span = 5 * time.Second
+		}
+		park.At(span, func() { deaf(false) })
+		began := park.Now()
+		applied, err := replace(park, "c1", document, 0)
+		took := park.Now() - began
+		switch {
+		case err == nil && took > 2*time.Second:
+			decided++
+		case err == nil, !isLong && errors.Is(err, register.ErrNoMajority):
+		case isLong && errors.Is(err, register.ErrUncertain):
+			if open++; controlplane.Answer(err).Status != 504 {
+				t.Errorf("seed %d: %v", seed, controlplane.Answer(err))
+			}
+		case errors.Is(err, register.ErrNoMajority):
+			if controlplane.Answer(err).Status != 503 {
+				t.Errorf("seed %d: %v", seed, controlplane.Answer(err))
+			}
+			// Nothing was written, so it never comes to stand by itself.
+			park.Run(3 * time.Second)
+			if label, _ := newest(t, park, "c2"); label != 0 {
+				t.Errorf("order: seed %d: it was said that nothing was written, and %d stands", seed, label)
+			}
+		default:
+			t.Errorf("order: seed %d: %v after %v: %v", seed, applied, took, err)
+		}
+		if took > 5*time.Second {
+			t.Errorf("seed %d: answered after %v", seed, took)
+		}
+		again, err := replace(park, "c2", document, 0)
+		if err != nil {
+			t.Errorf("seed %d: the repeat: %v", seed, err)
+		}
+		park.Run(3 * time.Second)
+		if label, config := newest(t, park, "c3"); label != 7 || len(config.Taken) != 1 {
+			t.Errorf("seed %d: label %d stands, taken %v (%v)", seed, label, config.Taken, again)
+		}
+		once(t, park)
+		park.Close()
+	}
+	if t.Logf("%d found out, %d left open", decided, open); decided < 3 || open < 1 {
+		t.Error("vacuous")
+	}
+}
+
+// TestReplaceBeneath: a daemon that finds its own change beneath a later one offers the
+// later one's contents under the later one's serial.
+func TestReplaceBeneath(t *testing.T) {
+	beneath := 0
+	for seed := uint64(1); seed <= 16; seed++ {
+		park := ordering(seed)
+		// One data daemon hears of configurations from c1 alone, and c1 hears nothing for
+		// a while after its write has gone out.
+		park.Split([]string{"d1"}, []string{"c2", "c3"}, true)
+		deaf := func(isDeaf bool) {
+			for _, other := range []string{"c2", "c3"} {
+				park.Cut(other, "c1", isDeaf)
+			}
+		}
+		park.At(time.Duration(seed)*500*time.Microsecond, func() { deaf(true) })
+		park.At(700*time.Millisecond, func() { deaf(false) })
+		done := false
+		var applied permit.Applied
+		var err error
+		park.Node("c1").Go(func() {
+			applied, err = park.Controls["c1"].Replace(labelled(park, 7, "a"), 0)
+			done = true
+		})
+		park.Run(100 * time.Millisecond)
+		later, laterErr := replace(park, "c2", labelled(park, 8, "b"), 7)
+		park.Until(10*time.Second, func() bool { return done })
+		if err != nil || !done {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		if laterErr == nil && applied.Serial == later.Serial {
+			beneath++
+		}
+		park.Run(time.Second)
+		once(t, park)
+		park.Close()
+	}
+	if t.Logf("%d lay beneath", beneath); beneath < 2 {
+		t.Error("vacuous")
+	}
+}
+
+// TestReplaceStorm: with a change every 80 ms over all daemons and a data daemon that
+// stands still, or is cut off, each is acknowledged within 5 s.
+func TestReplaceStorm(t *testing.T) {
+	const count = 40
+	for name, hurt := range map[string]func(park *fleet.Park){
+		"calm":   func(*fleet.Park) {},
+		"frozen": func(park *fleet.Park) { park.Freeze("d1", time.Minute) },
+		"cut":    func(park *fleet.Park) { park.Split([]string{"d1"}, []string{"c1", "c2", "c3"}, true) },
+		"noisy": func(park *fleet.Park) {
+			for at := time.Duration(0); at < 4*time.Second; at += 200 * time.Millisecond {
+				park.At(at, func() { park.Cut("c2", "c1", true) })
+				park.At(at+100*time.Millisecond, func() { park.Cut("c2", "c1", false) })
+			}
+		},
+	} {
+		park := ordering(13)
+		hurt(park)
+		ended, worst := 0, time.Duration(0)
+		run := func(at string, order func(daemon *controlplane.Daemon) error) {
+			park.Node(at).Go(func() {
+				err := order(park.Controls[at])
+				if ended++; err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+			})
+		}
+		zone := park.Zone(park.Plan.Replicas[0].ID)
+		for index := range uint64(count) {
+			at := fmt.Sprintf("c%d", 1+index%3)
+			park.At(time.Duration(index)*80*time.Millisecond, func() {
+				run(at, func(daemon *controlplane.Daemon) error {
+					// The one before is under way, and may not have been decided yet.
+					for {
+						if _, label, err := daemon.Current(); err == nil && label >= index {
+							break
+						}
+						wait(daemon, 20*time.Millisecond)
+					}
+					began := park.Now()
+					_, err := daemon.Replace(labelled(park, index+1, "a"), index)
+					worst = max(worst, park.Now()-began)
+					return err
+				})
+				if index%8 == 0 {
+					run(at, func(daemon *controlplane.Daemon) error {
+						began := park.Now()
+						_, err := daemon.Evacuate(zone, index%16 != 0)
+						worst = max(worst, park.Now()-began)
+						return err
+					})
+				}
+			})
+		}
+		if !park.Until(20*time.Second, func() bool { return ended == count+count/8 }) {
+			t.Fatalf("%s: %d of them ended", name, ended)
+		}
+		t.Logf("%s: the last after %v", name, worst)
+		if worst > 5*time.Second {
+			t.Errorf("%s: acknowledged after %v", name, worst)
+		}
+		if label, config := newest(t, park, "c3"); label != count || len(config.Taken) != count {
+			t.Errorf("%s: label %d stands, %d were taken", name, label, len(config.Taken))
+		}
+		for at, one := range park.Datas {
+			if view := one.Holder.View(); at != "d1" && view.Config.Label() != count {
+				t.Errorf("%s: %s goes by %d", name, at, view.Config.Label())
+			}
+		}
+		once(t, park)
+		park.Close()
+	}
+}
+
+func wait(daemon *controlplane.Daemon, span time.Duration) {
+	daemon.World.(*sim.Node).Mailbox().Take(span)
+}
--- a/permit/office.go
+++ b/permit/office.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"swifttiller/loop"
 	"swifttiller/register"
 	"swifttiller/session"
@@ -31,8 +34,33 @@
 type Config struct {
 	Document  json.RawMessage `json:"document"`
 	Evacuated []string        `json:"evacuated,omitempty"`
+	// Taken are the last documents that were taken under a label, newest last.
+	Taken []Mark `json:"taken,omitempty"`
+}
+
+// Mark is a document that was taken: the operator's label and a digest of what was
+// sent. It tells a repeated order from a new one.
+type Mark struct {
+	Label  uint64 `json:"label"`
+	Digest string `json:"digest"`
+}
+
+// Remembered is how many marks a configuration keeps.
+const Remembered = 64
+
+// Take gives the configuration with another document. Evacuations stay.
+func (config Config) Take(document []byte, mark Mark) Config {
+	config.Document = document
+	if mark.Label > 0 {
+		config.Taken = append(slices.Clone(config.Taken), mark)
+		config.Taken = config.Taken[max(0, len(config.Taken)-Remembered):]
+	}
+	return config
 }
 
+// Label is the operator's number of the document, zero when there is none.
+func (config Config) Label() uint64 { return gjson.GetBytes(config.Document, "label").Uint() }
+
 // Record is what a holder's register holds.
 //
 // Invariant: a permit is granted only to a recorded, not retired incarnation,
@@ -91,6 +119,9 @@
 	// retiring is since when a holder has been without a session.
 	retiring map[string]time.Duration
 	granted  uint64
+	// acknowledged is the highest serial that was acknowledged here, which acknowledges
+	// all before it.
+	acknowledged uint64
 }
 
 // Current is the newest configuration that this daemon has read.
@@ -253,11 +284,16 @@
 	Expired []string `json:"expired,omitempty"`
 }
 
+// ErrSame is how a revision says that what it is to bring about stands already: nothing
+// is written, and what stands is acknowledged again.
+var ErrSame = errors.New("permit: it stands already")
+
 // Change revises the configuration and returns once it is acknowledged: every
 // recorded holder applies it, or its permit has expired.
 func (office *Office) Change(expect *uint64, revise func(Config) (Config, error)) (Applied, error) {
-	var next Config
+	var under register.Value // what was revised last
 	value, err := office.Keeper.Change(ConfigKey, func(value register.Value) ([]byte, error) {
+		under = value
 		if expect != nil && *expect != value.Serial {
 			return nil, &register.Stale{Key: ConfigKey, Have: value.Serial, Want: *expect}
 		}
@@ -267,17 +303,23 @@
 				return nil, err
 			}
 		}
-		var err error
-		if next, err = revise(have); err != nil {
+		next, err := revise(have)
+		if err != nil {
 			return nil, err
 		}
 		return json.Marshal(next)
 	})
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrSame) {
 		return Applied{Serial: value.Serial}, err
 	}
 	decided := office.World.Now()
-	_, _, before := office.Current()
+	// The value may be a later change's that has this one beneath it, so what is
+	// offered under its serial is read from it.
+	var next Config
+	if err := json.Unmarshal(value.Data, &next); err != nil {
+		return Applied{Serial: value.Serial}, err
+	}
+	serial, _, before := office.Current()
 	if err := office.Learn(value); err != nil {
 		return Applied{Serial: value.Serial}, err
 	}
@@ -286,19 +328,37 @@
 	if before != nil {
 		length = max(length, before.Span("permit_ms", ""))
 	}
+	if under.Serial > serial && under.Serial < value.Serial {
+		// Permits were granted under it that this office has not seen.
+		var have Config
+		if json.Unmarshal(under.Data, &have) == nil {
+			if tree, problems := settings.Parse(have.Document); len(problems) == 0 {
+				length = max(length, tree.Span("permit_ms", ""))
+			}
+		}
+	}
 	length += time.Duration(Drift * float64(length))
-	return office.acknowledge(value, next, decided, length)
+	return office.acknowledge(value, next, decided, length), nil
 }
 
-// acknowledge tells the holders and waits for them.
-func (office *Office) acknowledge(value register.Value, config Config, decided, length time.Duration) (Applied, error) {
+// acknowledge tells the holders and waits for them, until the expiry of permits under
+// older configurations at the latest, whatever else does not answer.
+func (office *Office) acknowledge(value register.Value, config Config, decided, length time.Duration) Applied {
 	applied := Applied{Serial: value.Serial}
 	expiry := decided + length
 	offer := Offer{Serial: value.Serial, Config: config}
 	done := map[string]bool{}
 	var holders map[string]Record
-	for {
-		found, err := office.Holders()
+	for !office.isAcknowledged(value.Serial) {
+		var found map[string]Record
+		err := register.ErrNoMajority
+		loop.Gather(office.World, 1, expiry-office.World.Now(), func(int) (out read) {
+			out.holders, out.err = office.Holders()
+			return out
+		}, func(_ int, out read) bool {
+			found, err = out.holders, out.err
+			return true
+		})
 		if err == nil {
 			holders = found
 			var names []string
@@ -329,8 +389,23 @@
 		}
 		loop.Sleep(office.World, min(length/20, expiry-office.World.Now()))
 	}
+	office.guard.Lock()
+	office.acknowledged = max(office.acknowledged, value.Serial)
+	office.guard.Unlock()
 	applied.Took = office.World.Now() - decided
-	return applied, nil
+	return applied
+}
+
+// read is what a reading of the holders' records gave.
+type read struct {
+	holders map[string]Record
+	err     error
+}
+
+func (office *Office) isAcknowledged(serial uint64) bool {
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	return office.acknowledged >= serial
 }
 
 func (Applied) waiting(holders map[string]Record, done map[string]bool) (names []string) {
