--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -9,6 +9,7 @@
 	"swifttiller/controlplane"
 	"swifttiller/disk"
 	"swifttiller/listing"
+	"swifttiller/platform"
 	"swifttiller/replica"
 	"swifttiller/serve"
 )
@@ -40,5 +41,5 @@
 
 func main() {
 	more := "\n  With a data folder it is an acceptor that a core may admit."
-	serve.Main("controlplane", &serve.Command{Program: "controlplane", What: "control daemon", More: more, Make: build}, commands())
+	serve.Main("controlplane", &serve.Command{Program: "controlplane", What: "control daemon", More: more, Load: platform.Load(platform.Controlplane), Make: build}, commands())
 }
--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"swifttiller/dataplane"
+	"swifttiller/platform"
 	"swifttiller/replica"
 	"swifttiller/serve"
 	"swifttiller/traces"
@@ -25,5 +26,5 @@
 }
 
 func main() {
-	serve.Main("dataplane", &serve.Command{Program: "dataplane", What: "data daemon", Make: build}, nil)
+	serve.Main("dataplane", &serve.Command{Program: "dataplane", What: "data daemon", Load: platform.Load(platform.Dataplane), Make: build}, nil)
 }
--- a/serve/command.go
+++ b/serve/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"net/rpc"
 	"os"
 	"time"
@@ -19,6 +20,8 @@
 type Daemon struct {
 	Services *rpc.Server
 	App      *fiber.App
+	// Apps, if any, are further ones, by the address that each is served at.
+	Apps map[string]*fiber.App
 	// Run starts the loops; Stop is the planned stop and tells whether all was
 	// finished; Closed, if set, is the last thing done.
 	Run    func()
@@ -31,6 +34,8 @@
 // Command is the run command of a program.
 type Command struct {
 	Program, What, More string
+	// Load, if set, is how settings are read elsewhere than in our own file.
+	Load Load
 	// Make makes the daemon of a process whose settings hold.
 	Make func(process *Process) (Daemon, error)
 
@@ -46,7 +51,7 @@
 
 // Usage is the help.
 func (command *Command) Usage() string {
-	return command.Program + " run [--settings FILE] [flags]\n  Runs until SIGTERM or SIGINT, then finishes what runs within the grace.\n  SIGHUP (or controlplane reload NAME) rereads the settings file: seeds, log, grace and traces\n  change in place, the rest needs a restart; on an error the old ones stay." + command.More +
+	return command.Program + " run [--settings FILE] [flags]\n  Runs until SIGTERM or SIGINT, then finishes what runs within the grace.\n  SIGHUP (or controlplane reload NAME, or a change of the file, looked for each second) rereads\n  the settings file: seeds, log, grace and traces\n  change in place, the rest needs a restart; on an error the old ones stay." + command.More +
 		"\n  Exit: 0 stopped as asked, 1 failed or the grace ran out, 2 the settings do not hold.\n"
 }
 
@@ -58,7 +63,10 @@
 
 // Execute runs the daemon from its settings to its planned stop.
 func (command *Command) Execute(_ context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	process, code := Start(*command.path, set, command.check)
+	if command.Load == nil {
+		command.Load = load
+	}
+	process, code := Start(command.Load, *command.path, set, command.check)
 	if process == nil {
 		return subcommands.ExitStatus(code)
 	}
@@ -70,13 +78,18 @@
 	if daemon.Closed != nil {
 		defer daemon.Closed()
 	}
-	closing, err := process.Listen(daemon.Services, daemon.App)
+	apps := map[string]*fiber.App{process.HTTP: daemon.App}
+	maps.Copy(apps, daemon.Apps)
+	closing, err := process.Listen(daemon.Services, apps)
 	if err != nil {
 		process.Log.Error("can't listen", zap.Error(err))
 		return subcommands.ExitFailure
 	}
 	process.retrace = daemon.Retrace
 	daemon.Run()
+	if process.file != "" {
+		process.World.Go(func() { Watch(process.World, process.file, process.read, process.Reload) })
+	}
 	process.Wait()
 	process.Log.Info("stopping")
 	done := daemon.Stop(time.Duration(process.Live.Now().Grace) * time.Second)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -7,11 +7,13 @@
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -31,6 +33,8 @@
 	level       zap.AtomicLevel
 	retrace     func(path string) error
 	told        chan os.Signal // from the very start, as a SIGHUP may come early
+	file        string         // that the settings come from, if any
+	read        Stamp          // of the file as it was first read
 	World       *loop.Machine
 	Net         *wire.TCP
 	Log         *zap.Logger
@@ -54,9 +58,24 @@
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), level))
 }
 
-// Start reads the settings. With check it only says whether they hold.
-func Start(path string, set *flag.FlagSet, check bool) (*Process, int) {
+// Load reads a process's settings and gives the file that they come from, if any.
+type Load func(path string, set *flag.FlagSet) (*settings.Process, string, error)
+
+// load reads our own settings file.
+func load(path string, set *flag.FlagSet) (*settings.Process, string, error) {
 	process, err := settings.LoadProcess(path, set)
+	return process, path, err
+}
+
+// Start reads the settings. With check it only says whether they hold.
+func Start(load Load, path string, set *flag.FlagSet, check bool) (*Process, int) {
+	process, file, err := load(path, set)
+	// Taken after the first reading, it would miss a change in between.
+	var stamp Stamp
+	if err == nil {
+		stamp = StampOf(file)
+		process, file, err = load(path, set)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return nil, 2
@@ -73,14 +92,17 @@
 		return nil, 2
 	}
 	log := Logger(level).With(zap.String("daemon", process.Name), zap.String("incarnation", incarnation))
-	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, told: make(chan os.Signal, 4)}
+	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, told: make(chan os.Signal, 4), file: file, read: stamp}
 	signal.Notify(out.told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	world.Panicked = func(trouble any, stack []byte) {
 		log.Fatal("a task panicked", zap.Any("trouble", trouble), zap.ByteString("stack", stack))
 	}
 	out.Live = settings.NewLive(settings.LiveOptions{
 		Process: *process, Apply: out.apply,
-		Read: func() (*settings.Process, error) { return settings.LoadProcess(path, set) },
+		Read: func() (*settings.Process, error) {
+			process, _, err := load(path, set)
+			return process, err
+		},
 	})
 	return out, 0
 }
@@ -107,26 +129,39 @@
 	}
 }
 
-// Listen serves the wire and HTTP; it gives the function that closes both.
-func (process *Process) Listen(server *rpc.Server, app *fiber.App) (func(), error) {
+// Listen serves the wire and the apps, each at its address; it gives the function that
+// closes all of them.
+func (process *Process) Listen(server *rpc.Server, apps map[string]*fiber.App) (func(), error) {
 	listener, err := net.Listen("tcp", process.Wire)
 	if err != nil {
 		return nil, err
 	}
-	front, err := net.Listen("tcp", process.HTTP)
-	if err != nil {
-		listener.Close()
-		return nil, err
+	opened := []net.Listener{listener}
+	fronts := map[string]net.Listener{}
+	for address := range apps {
+		front, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, one := range opened {
+				one.Close()
+			}
+			return nil, err
+		}
+		opened, fronts[address] = append(opened, front), front
 	}
 	process.World.Go(func() { wire.Serve(process.World, listener, server) })
-	process.World.Go(func() {
-		if err := app.Listener(front); err != nil && !process.World.Ended() {
-			process.Log.Error("the HTTP listener ended", zap.Error(err))
-		}
-	})
-	process.Log.Info("listening", zap.String("wire", process.Wire), zap.String("http", process.HTTP))
+	for address, app := range apps {
+		process.World.Go(func() {
+			if err := app.Listener(fronts[address]); err != nil && !process.World.Ended() {
+				process.Log.Error("the HTTP listener ended", zap.String("at", address), zap.Error(err))
+			}
+		})
+	}
+	process.Log.Info("listening", zap.String("wire", process.Wire), zap.Strings("http", slices.Sorted(maps.Keys(apps))))
 	return func() {
-		_ = app.ShutdownWithTimeout(time.Second)
+		// All at once: each may take the whole second.
+		loop.Gather(process.World, len(apps), 2*time.Second, func(index int) error {
+			return apps[slices.Sorted(maps.Keys(apps))[index]].ShutdownWithTimeout(time.Second)
+		}, func(int, error) bool { return false })
 		listener.Close()
 	}, nil
 }
--- /dev/null
+++ b/serve/watch.go
@@ -0,0 +1,41 @@
+package serve
+
+import (
+	"os"
+	"syscall"
+	"time"
+
+	"swifttiller/loop"
+)
+
+// Stamp tells a file from what it was before; the zero one is of no file.
+type Stamp struct {
+	modified time.Time
+	size     int64
+	inode    uint64
+}
+
+// StampOf is the file's stamp now.
+func StampOf(path string) (stamp Stamp) {
+	about, err := os.Stat(path)
+	if err != nil {
+		return Stamp{}
+	}
+	stamp.modified, stamp.size = about.ModTime(), about.Size()
+	if system, isKnown := about.Sys().(*syscall.Stat_t); isKnown {
+		stamp.inode = system.Ino
+	}
+	return stamp
+}
+
+// Watch runs reload whenever the file is another than the stamp says, until the world
+// ends. It looks once a second; a file that is gone for a while changes nothing.
+func Watch(world loop.World, path string, have Stamp, reload func()) {
+	loop.Every(world, func() time.Duration { return time.Second }, func() bool {
+		if now := StampOf(path); now != have && now != (Stamp{}) {
+			have = now
+			reload()
+		}
+		return true
+	})
+}
