--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -268,6 +268,9 @@
 		if turn++; daemon.Core().Epoch == 0 || turn%8 == 0 {
 			daemon.Discover(daemon.Live.Seeds())
 		}
+		if daemon.Process.First && daemon.Acceptor != nil && daemon.Core().Epoch == 0 {
+			_, _ = daemon.Init(daemon.Live.Seeds())
+		}
 		return !daemon.stopped.Load()
 	})
 }
--- a/decide/route.go
+++ b/decide/route.go
@@ -391,16 +391,7 @@
 	if known := view.Tree.Engine(routed.Model); known != nil && known.CacheTokens > 0 {
 		seat.kept.note(routed.Parts, int(keptShare*float64(known.CacheTokens)))
 	}
-	decider.occupy(selection, 1)
-	decider.counts.Dispatches++
 	decider.dispatched(view, selection)
-	decider.judging.waiting[selection] = now
-	if selection.Trial {
-		decider.counts.Trials++
-	}
-	if selection.Spill {
-		decider.counts.Spilled++
-	}
 	return selection
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -7,11 +7,13 @@
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -31,6 +33,8 @@
 	level       zap.AtomicLevel
 	retrace     func(path string) error
 	told        chan os.Signal // from the very start, as a SIGHUP may come early
+	file        string         // that the settings come from, if any
+	read        Stamp          // of the file as it was first read
 	World       *loop.Machine
 	Net         *wire.TCP
 	Log         *zap.Logger
@@ -54,12 +58,24 @@
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), level))
 }
 
-// Load reads a process's settings and gives the file that they stand in.
+// Load reads a process's settings and gives the file that they come from, if any.
 type Load func(path string, set *flag.FlagSet) (*settings.Process, string, error)
 
+// load reads our own settings file.
+func load(path string, set *flag.FlagSet) (*settings.Process, string, error) {
+	process, err := settings.LoadProcess(path, set)
+	return process, path, err
+}
+
 // Start reads the settings. With check it only says whether they hold.
 func Start(load Load, path string, set *flag.FlagSet, check bool) (*Process, int) {
-	process, _, err := load(path, set)
+	process, file, err := load(path, set)
+	// Taken after the first reading, it would miss a change in between.
+	var stamp Stamp
+	if err == nil {
+		stamp = StampOf(file)
+		process, file, err = load(path, set)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return nil, 2
@@ -76,7 +92,7 @@
 		return nil, 2
 	}
 	log := Logger(level).With(zap.String("daemon", process.Name), zap.String("incarnation", incarnation))
-	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, told: make(chan os.Signal, 4)}
+	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, told: make(chan os.Signal, 4), file: file, read: stamp}
 	signal.Notify(out.told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	world.Panicked = func(trouble any, stack []byte) {
 		log.Fatal("a task panicked", zap.Any("trouble", trouble), zap.ByteString("stack", stack))
@@ -113,45 +129,39 @@
 	}
 }
 
-// Endpoint is one more place where a daemon is asked.
-type Endpoint struct {
-	Address string
-	App     *fiber.App
-}
-
-// Listen serves the wire, HTTP and whatever more there is; it gives the function that
-// closes all.
-func (process *Process) Listen(server *rpc.Server, app *fiber.App, more ...Endpoint) (func(), error) {
+// Listen serves the wire and the apps, each at its address; it gives the function that
+// closes all of them.
+func (process *Process) Listen(server *rpc.Server, apps map[string]*fiber.App) (func(), error) {
 	listener, err := net.Listen("tcp", process.Wire)
 	if err != nil {
 		return nil, err
 	}
-	endpoints := append([]Endpoint{{process.HTTP, app}}, more...)
-	var fronts []net.Listener
-	for _, one := range endpoints {
-		front, err := net.Listen("tcp", one.Address)
+	opened := []net.Listener{listener}
+	fronts := map[string]net.Listener{}
+	for address := range apps {
+		front, err := net.Listen("tcp", address)
 		if err != nil {
-			listener.Close()
-			for _, opened := range fronts {
-				opened.Close()
+			for _, one := range opened {
+				one.Close()
 			}
 			return nil, err
 		}
-		fronts = append(fronts, front)
+		opened, fronts[address] = append(opened, front), front
 	}
 	process.World.Go(func() { wire.Serve(process.World, listener, server) })
-	for index, one := range endpoints {
+	for address, app := range apps {
 		process.World.Go(func() {
-			if err := one.App.Listener(fronts[index]); err != nil && !process.World.Ended() {
-				process.Log.Error("an HTTP listener ended", zap.String("address", one.Address), zap.Error(err))
+			if err := app.Listener(fronts[address]); err != nil && !process.World.Ended() {
+				process.Log.Error("the HTTP listener ended", zap.String("at", address), zap.Error(err))
 			}
 		})
 	}
-	process.Log.Info("listening", zap.String("wire", process.Wire), zap.String("http", process.HTTP))
+	process.Log.Info("listening", zap.String("wire", process.Wire), zap.Strings("http", slices.Sorted(maps.Keys(apps))))
 	return func() {
-		for _, one := range endpoints {
-			_ = one.App.ShutdownWithTimeout(time.Second)
-		}
+		// All at once: each may take the whole second.
+		loop.Gather(process.World, len(apps), 2*time.Second, func(index int) error {
+			return apps[slices.Sorted(maps.Keys(apps))[index]].ShutdownWithTimeout(time.Second)
+		}, func(int, error) bool { return false })
 		listener.Close()
 	}, nil
 }
