Reads share rounds, ask a majority, and name the values they hold

An acceptor now leaves out a value that the asker names by its ballot (a ballot names one value for good); asks that come while a round is under way share the next one; a round asks the nearest majority and the rest once an answer stays out (20 to 150 ms) or copies differ. A value is decided if any majority holds it under one ballot, so that most reads beside a write need no completion any more, and of those that do one completes for all. Ruled out: a leader's read permit (a clock would guard reads), reads at one acceptor.

--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -90,6 +90,7 @@
 		acceptor.Moved = daemon.Learn
 		daemon.Acceptor = acceptor
 		identity = acceptor.ID()
+		daemon.Keeper.Own = identity
 		var about register.About
 		_ = acceptor.Describe(struct{}{}, &about)
 		daemon.Learn(about.Core)
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -251,15 +251,19 @@
 	Sick             // the disk does not keep
 )
 
-// Ask is a request for a vote. Epoch binds it to one core.
+// Ask is a request for a vote. Epoch binds it to one core. Have is the ballot whose
+// value the asker holds already.
 type Ask struct {
 	Epoch  uint64
 	Key    string
 	Ballot Ballot
 	Value  Value
+	Have   Ballot
 }
 
-// Vote answers an Ask.
+// Vote answers an Ask. A given vote names no core, as it is the asked one; the cell
+// has its value only in an answer to Prepare, and there only if the asker does not
+// hold it.
 type Vote struct {
 	ID     string
 	Kind   int
@@ -271,11 +275,11 @@
 }
 
 func (acceptor *Acceptor) elsewhere(state *state, epoch uint64, vote *Vote) bool {
-	vote.ID, vote.Core, vote.Sealed, vote.Next = state.ID, state.Core, state.Sealed, state.Next
+	vote.ID = state.ID
 	if state.Core.Epoch == epoch && epoch > 0 && !state.Sealed && state.Core.Has(state.ID) {
 		return false
 	}
-	vote.Kind = Elsewhere
+	vote.Kind, vote.Core, vote.Sealed, vote.Next = Elsewhere, state.Core, state.Sealed, state.Next
 	return true
 }
 
@@ -292,11 +296,14 @@
 			return nil
 		}
 		cell := state.Cells[ask.Key]
-		vote.Cell = cell
+		vote.Cell = Cell{Promised: cell.Promised, Accepted: cell.Accepted}
 		if !cell.Promised.Less(ask.Ballot) {
 			vote.Kind = Outvoted
 			return nil
 		}
+		if cell.Accepted != ask.Have {
+			vote.Cell.Value = cell.Value
+		}
 		before := cell
 		cell.Promised = ask.Ballot
 		state.Cells[ask.Key] = cell
@@ -312,7 +319,7 @@
 			return nil
 		}
 		cell := state.Cells[ask.Key]
-		vote.Cell = cell
+		vote.Cell = Cell{Promised: cell.Promised, Accepted: cell.Accepted}
 		if ask.Ballot.Less(cell.Promised) {
 			vote.Kind = Outvoted
 			return nil
@@ -327,13 +334,17 @@
 
 // Look asks for cells by key and by prefix, without a promise.
 type Look struct {
-	Epoch  uint64
-	Keys   []string
+	Epoch uint64
+	Keys  []string
+	// Have are, in the order of the keys, the ballots whose values the asker holds
+	// already; none for nothing.
+	Have   []Ballot
 	Prefix string
-	Bare   bool // leave the values out
+	Bare   bool // leave the values and promises out
 }
 
-// Seen answers a Look.
+// Seen answers a Look. A key that was asked for and is not in it is held as the asker
+// has it.
 type Seen struct {
 	Vote
 	Cells map[string]Cell
@@ -355,12 +366,15 @@
 				cell = line.lasting
 			}
 			if look.Bare {
-				cell.Value.Data = nil
+				cell.Promised, cell.Value = Ballot{}, Value{Serial: cell.Value.Serial}
 			}
 			seen.Cells[key] = cell
 		}
-		for _, key := range look.Keys {
+		for index, key := range look.Keys {
 			show(key)
+			if index < len(look.Have) && seen.Cells[key].Accepted == look.Have[index] {
+				delete(seen.Cells, key)
+			}
 		}
 		if look.Prefix != "" {
 			for key, cell := range state.Cells {
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -21,6 +21,8 @@
 	Patience time.Duration
 	// Locate gives an acceptor's present address, or an empty string.
 	Locate func(id string) string
+	// Own is the identity of this daemon's own acceptor, if it has one.
+	Own string
 }
 
 // Keeper proposes changes and reads. It is the only way to the registers.
@@ -34,6 +36,17 @@
 	round  uint64
 	change uint64
 	rounds Rounds
+	kept   kept
+	// wishes wait for the next round of reads; isReading is true exactly while a task
+	// makes rounds, which ends only when nobody waits.
+	wishes    []*wish
+	isReading bool
+	inquiries uint64
+	// paces are how soon acceptors answer reads, smoothed.
+	paces map[string]time.Duration
+	// completing are who waits for the completion of a key after the one under way; a
+	// key is in it exactly while a task completes it.
+	completing map[string][]loop.Mailbox
 }
 
 // Rounds counts what a keeper did: reads and writes that went through, and
@@ -122,75 +135,21 @@
 	}
 }
 
-// ReadMany reads several keys; in the quiet case in one round without a sync.
-// A key whose copies differ is completed first, in two rounds of its own.
-func (keeper *Keeper) ReadMany(keys ...string) (map[string]Value, error) {
-	expiry := keeper.World.Now() + keeper.Patience
-	for try := 0; ; try++ {
-		core := keeper.Core()
-		if core.Epoch == 0 {
-			return nil, ErrNoCore
-		}
-		heard := 0
-		cells := map[string][]Cell{}
-		var astray *Vote
-		ask(keeper, core, "Query", Look{Epoch: core.Epoch, Keys: keys}, min(keeper.Patience/4, expiry-keeper.World.Now()), func(seen *Seen, err error) bool {
-			if err != nil {
-				return false
-			}
-			switch seen.Kind {
-			case Voted:
-				heard++
-				for _, key := range keys {
-					cells[key] = append(cells[key], seen.Cells[key])
-				}
-			case Elsewhere:
-				astray = &seen.Vote
-			}
-			return heard == core.Majority()
-		})
-		if heard >= core.Majority() {
-			values := map[string]Value{}
-			for _, key := range keys {
-				same := true
-				for _, cell := range cells[key] {
-					same = same && cell.Accepted == cells[key][0].Accepted
-				}
-				if same {
-					values[key] = cells[key][0].Value
-					continue
-				}
-				value, err := keeper.Change(key, func(value Value) ([]byte, error) { return nil, errKeep })
-				if err != nil && !errors.Is(err, errKeep) {
-					return nil, err
-				}
-				values[key] = value
-			}
-			keeper.guard.Lock()
-			keeper.rounds.Reads++
-			keeper.guard.Unlock()
-			return values, nil
-		}
-		if astray != nil {
-			keeper.elsewhere(core, astray)
-			keeper.carry()
-		}
-		if !keeper.again(expiry, try) {
-			return nil, ErrNoMajority
-		}
-	}
-}
-
 // Read reads one key.
 func (keeper *Keeper) Read(key string) (Value, error) {
 	values, err := keeper.ReadMany(key)
 	return values[key], err
 }
 
-// again backs off, seeded and growing, and tells whether time is left.
-func (keeper *Keeper) again(expiry time.Duration, try int) bool {
+// pause backs off, seeded and growing.
+func (keeper *Keeper) pause(try int) {
 	span := keeper.Patience / 100 * time.Duration(1<<min(try, 4))
 	loop.Sleep(keeper.World, span/2+time.Duration(keeper.World.Draw(int64(span))))
+}
+
+// again backs off and tells whether time is left.
+func (keeper *Keeper) again(expiry time.Duration, try int) bool {
+	keeper.pause(try)
 	return keeper.World.Now() < expiry && !keeper.World.Ended()
 }
 
@@ -228,14 +187,18 @@
 		ballot := keeper.ballot(above)
 		var best Cell
 		promises := 0
+		have := keeper.have(key)
 		var astray *Vote
-		ask(keeper, core, "Prepare", Ask{Epoch: core.Epoch, Key: key, Ballot: ballot}, patience, func(vote *Vote, err error) bool {
+		ask(keeper, core, "Prepare", Ask{Epoch: core.Epoch, Key: key, Ballot: ballot, Have: have.Accepted}, patience, func(vote *Vote, err error) bool {
 			if err != nil {
 				return false
 			}
 			switch vote.Kind {
 			case Voted:
 				promises++
+				if vote.Cell.Accepted == have.Accepted {
+					vote.Cell.Value = have.Value
+				}
 				if best.Accepted.Less(vote.Cell.Accepted) {
 					best = vote.Cell
 				}
@@ -317,6 +280,7 @@
 	}
 	keeper.guard.Lock()
 	keeper.rounds.Writes++
+	keeper.kept.see(key, Cell{Accepted: ballot, Value: next})
 	keeper.guard.Unlock()
 	if errors.Is(declined, errKeep) {
 		declined = nil
--- /dev/null
+++ b/register/read_test.go
@@ -0,0 +1,215 @@
+package register_test
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"swifttiller/loop"
+	"swifttiller/register"
+)
+
+// throng lets writers change two keys while many readers at each machine read both
+// with one ask, most of it at the same time, so that rounds are shared and most
+// values are known already. It gives each key's history.
+func throng(seed uint64, fault func(bench *bench)) (map[string][]operation, int, uint64) {
+	bench := newBench(seed)
+	defer bench.Close()
+	names := []string{"a", "b", "c"}
+	bench.core(names...)
+	keys := []string{"k", "l"}
+	var entries []*operation
+	keyOf := map[*operation]string{}
+	reads := 0
+	for _, name := range names {
+		keeper, node := bench.keepers[name], bench.Node(name)
+		for _, key := range keys {
+			node.Go(func() {
+				for turn := 0; turn < 4; turn++ {
+					one := &operation{begin: node.Now(), write: true, value: name + strconv.Itoa(turn), uncertain: true}
+					entries = append(entries, one)
+					keyOf[one] = key
+					_, err := keeper.Change(key, func(value register.Value) ([]byte, error) {
+						one.before = string(value.Data)
+						return []byte(one.value), nil
+					})
+					one.end = node.Now()
+					if err == nil {
+						one.uncertain = false
+					} else if !errors.Is(err, register.ErrUncertain) {
+						one.value = "never"
+					}
+					loop.Sleep(node, time.Duration(node.Draw(int64(60*time.Millisecond))))
+				}
+			})
+		}
+		for reader := 0; reader < 3; reader++ {
+			node.Go(func() {
+				for turn := 0; turn < 4; turn++ {
+					begin := node.Now()
+					values, err := keeper.ReadMany(keys...)
+					if err == nil {
+						reads++
+						for _, key := range keys {
+							one := &operation{begin: begin, end: node.Now(), value: string(values[key].Data)}
+							entries = append(entries, one)
+							keyOf[one] = key
+						}
+					}
+					loop.Sleep(node, time.Duration(node.Draw(int64(20*time.Millisecond))))
+				}
+			})
+		}
+	}
+	fault(bench)
+	bench.Run(60 * time.Second)
+	history := map[string][]operation{}
+	for _, one := range entries {
+		if one.value != "never" {
+			history[keyOf[one]] = append(history[keyOf[one]], *one)
+		}
+	}
+	rounds := uint64(0)
+	for _, name := range names {
+		rounds += bench.keepers[name].Rounded().Reads
+	}
+	return history, reads, rounds
+}
+
+func TestSharedReadsAreLinear(t *testing.T) {
+	Convey("reads that share rounds and know most values keep one history per key", t, func() {
+		reads, rounds := 0, uint64(0)
+		for seed := uint64(1); seed <= uint64(few(25, 5)); seed++ {
+			histories, asked, made := throng(seed, func(bench *bench) {
+				bench.Run(time.Duration(bench.Draw(int64(100 * time.Millisecond))))
+				switch seed % 5 {
+				case 0:
+					bench.Cut("a", "b", true)
+				case 1:
+					bench.Freeze("b", 3*time.Second)
+				case 2:
+					bench.Split([]string{"a"}, []string{"b", "c"}, true)
+					bench.Run(time.Second)
+					bench.Split([]string{"a"}, []string{"b", "c"}, false)
+				case 3:
+					bench.Unruly.Late, bench.Unruly.Repeated, bench.Unruly.Lost, bench.Unruly.Latest = 0.05, 0.05, 0.02, 400*time.Millisecond
+				}
+			})
+			reads += asked
+			rounds += made
+			for key, history := range histories {
+				So(len(history), ShouldBeGreaterThan, 8)
+				if !linear(history) {
+					t.Fatalf("seed %d, key %s: not linear: %+v", seed, key, history)
+				}
+			}
+		}
+		So(rounds, ShouldBeLessThan, uint64(reads)) // else nothing was shared
+	})
+}
+
+func TestKnownValuesAreNotSentAgain(t *testing.T) {
+	Convey("a value that was read once costs a few bytes to read again, and a new one comes whole", t, func() {
+		bench := newBench(1)
+		defer bench.Close()
+		bench.core("a", "b", "c")
+		big := make([]byte, 50000)
+		write := func(at string, first byte) {
+			big[0] = first
+			err := errors.New("not done")
+			bench.do(at, 5*time.Second, func(keeper *register.Keeper) {
+				_, err = keeper.Change("k", func(register.Value) ([]byte, error) { return append([]byte{}, big...), nil })
+			})
+			So(err, ShouldBeNil)
+		}
+		read := func(at string) (value register.Value, bytes int) {
+			before := bench.Bytes["Register.Query"]
+			err := errors.New("not done")
+			bench.do(at, 5*time.Second, func(keeper *register.Keeper) { value, err = keeper.Read("k") })
+			So(err, ShouldBeNil)
+			return value, bench.Bytes["Register.Query"] - before
+		}
+		write("a", 1)
+		bench.Run(100 * time.Millisecond)
+		first, whole := read("b")
+		So(whole, ShouldBeGreaterThan, 50000)
+		again, few := read("b")
+		So(few, ShouldBeLessThan, 600)
+		So(again, ShouldResemble, first)
+		write("c", 2)
+		bench.Run(100 * time.Millisecond)
+		next, whole := read("b")
+		So(whole, ShouldBeGreaterThan, 50000)
+		So(next.Serial, ShouldEqual, first.Serial+1)
+		So(next.Data[0], ShouldEqual, byte(2))
+		// The writer holds what it wrote, and its next change brings it nothing.
+		before := bench.Bytes["Register.Prepare"]
+		write("c", 3)
+		So(bench.Bytes["Register.Prepare"]-before, ShouldBeLessThan, 1000)
+	})
+}
+
+func TestReadsWithOneAcceptorOut(t *testing.T) {
+	for what, out := range map[string]func(bench *bench, name string){
+		"dark":   func(bench *bench, name string) { bench.Split([]string{"a", "c"}, []string{name}, true) },
+		"dead":   func(bench *bench, name string) { bench.Kill(name) },
+		"frozen": func(bench *bench, name string) { bench.Freeze(name, time.Hour) },
+	} {
+		Convey("a read with one acceptor "+what+" takes no longer than 200 ms, the next ones go round it", t, func() {
+			for seed := uint64(1); seed <= 5; seed++ {
+				bench := newBench(seed)
+				bench.core("a", "b", "c")
+				bench.write("a", 1, "k")
+				bench.Run(time.Second)
+				worst := func(turns int) (span time.Duration) {
+					for turn := 0; turn < turns; turn++ {
+						began := bench.Now()
+						err := errors.New("not done")
+						bench.do("a", 5*time.Second, func(keeper *register.Keeper) { _, err = keeper.Read("k") })
+						So(err, ShouldBeNil)
+						span = max(span, bench.Now()-began)
+					}
+					return span
+				}
+				So(worst(20), ShouldBeLessThan, 30*time.Millisecond)
+				out(bench, "b")
+				So(worst(1), ShouldBeLessThan, 200*time.Millisecond)
+				So(worst(20), ShouldBeLessThan, 30*time.Millisecond)
+				bench.Close()
+			}
+		})
+	}
+}
+
+func TestQuietReadsAskAMajority(t *testing.T) {
+	Convey("reads ask two of three acceptors, and many at a time share rounds", t, func() {
+		bench := newBench(1)
+		defer bench.Close()
+		bench.core("a", "b", "c")
+		bench.write("a", 1, "k")
+		cost := func(readers int) (queries int) {
+			before, done := bench.Messages["Register.Query"], 0
+			for index := 0; index < readers; index++ {
+				bench.Node("a").Go(func() {
+					for turn := 0; turn < 10; turn++ {
+						_, err := bench.keepers["a"].ReadMany("k", fmt.Sprint("own", index))
+						if err != nil {
+							panic(err)
+						}
+					}
+					done++
+				})
+			}
+			bench.Run(5 * time.Second)
+			So(done, ShouldEqual, readers)
+			return bench.Messages["Register.Query"] - before
+		}
+		one, many := cost(1), cost(100)
+		So(one, ShouldBeLessThanOrEqualTo, 22)
+		So(many, ShouldBeLessThanOrEqualTo, 2*one)
+	})
+}
--- a/sim/net.go
+++ b/sim/net.go
@@ -119,6 +119,7 @@
 		return &wire.Mishap{Address: address, Method: method, Cause: errDeclined}
 	}
 	sent := sim.copy(method+" args", args)
+	sim.carried(net.Name, address, method)
 	life := target.life
 	fate := Passes
 	if sim.OnCall != nil {
@@ -129,7 +130,7 @@
 			return
 		}
 		server := node.services(method).(*rpc.Server)
-		codec := &codec{sim: sim, method: method, sent: sent}
+		codec := &codec{sim: sim, method: method, sent: sent, from: node.Name, to: net.Name}
 		server.ServeRequest(codec)
 		if fate != AnswerLost && !sim.happens(sim.Unruly.Lost) {
 			sim.Deliver(node, net.Name, func(*Node) { box.Put(codec) })
@@ -181,6 +182,14 @@
 	decoder *gob.Decoder
 }
 
+// carried counts the bytes of what was copied last.
+func (sim *Sim) carried(from, to, method string) {
+	sim.Bytes[method] += sim.copied
+	if sim.OnBytes != nil {
+		sim.OnBytes(from, to, method, sim.copied)
+	}
+}
+
 // copy gives what arrives of a value that is sent, sharing nothing with it.
 func (sim *Sim) copy(name string, value any) reflect.Value {
 	one := sim.tapes[name]
@@ -194,12 +203,14 @@
 		kind = kind.Elem()
 	}
 	out := reflect.New(kind)
+	sim.copied = 0
 	if kind.Kind() == reflect.Struct && kind.NumField() == 0 {
 		return out.Elem() // gob has no words for nothing
 	}
 	if err := one.encoder.Encode(value); err != nil {
 		panic(err)
 	}
+	sim.copied = one.buffer.Len()
 	if err := one.decoder.DecodeValue(out); err != nil {
 		panic(err)
 	}
@@ -213,6 +224,8 @@
 	sent    reflect.Value
 	out     reflect.Value
 	trouble string
+	// from and to are the way of the answer.
+	from, to string
 }
 
 func (codec *codec) ReadRequestHeader(request *rpc.Request) error {
@@ -233,6 +246,7 @@
 		return nil
 	}
 	codec.out = codec.sim.copy(codec.method+" reply", body)
+	codec.sim.carried(codec.from, codec.to, codec.method)
 	return nil
 }
 
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -28,14 +28,19 @@
 	// Latency of one way on the network, and of one sync.
 	Latency, Jitter, SyncTime time.Duration
 	Messages                  map[string]int
-	tapes                     map[string]*tape
-	points                    map[string]int
-	hooks                     map[string]func(node *Node, count int)
-	panicked                  any
-	parked                    map[*task]bool
-	closed                    bool
-	running                   *task // who holds the token, if not the scheduler
-	Steps                     int
+	// Bytes are the bytes of calls and answers as gob writes them, by method.
+	Bytes map[string]int
+	// OnBytes, if set, is told of each call's and answer's bytes, and of their way.
+	OnBytes  func(from, to, method string, bytes int)
+	tapes    map[string]*tape
+	copied   int // bytes of the last copy
+	points   map[string]int
+	hooks    map[string]func(node *Node, count int)
+	panicked any
+	parked   map[*task]bool
+	closed   bool
+	running  *task // who holds the token, if not the scheduler
+	Steps    int
 	// Unruly is how calls between processes are mistreated.
 	Unruly Unruly
 	// OnCall, if set, is asked what becomes of a call.
@@ -76,7 +81,7 @@
 		Seed: seed, source: rand.New(rand.NewPCG(seed, 77)), back: make(chan struct{}),
 		nodes: map[string]*Node{}, links: map[[2]string]*Link{},
 		Latency: time.Millisecond, Jitter: 2 * time.Millisecond, SyncTime: 2 * time.Millisecond,
-		Messages: map[string]int{}, tapes: map[string]*tape{}, parked: map[*task]bool{}, points: map[string]int{}, hooks: map[string]func(*Node, int){},
+		Messages: map[string]int{}, Bytes: map[string]int{}, tapes: map[string]*tape{}, parked: map[*task]bool{}, points: map[string]int{}, hooks: map[string]func(*Node, int){},
 	}
 }
 
