Sessions tell what changed; members and standings only when newer; renewal at a third

Cause: each share carried every session whole, both ways, and each grant all members. A share names sessions by marks (slot, serial, age) and sends contents that the colleague lacks; it answers what it does not have, and is told at once. Permits are renewed each third of their length, each sixth after an ask that brought none. Data daemons stay with control daemons of their own region. Whole outcomes of models with an engine, an open version and one version held are told within the region alone, and neither demand nor streams of them at all. Ruled out: leaving out control daemons' own words at relays (a cut between two of them would hide duties).

--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -181,10 +181,11 @@
 	daemon.Client.Say(session.Beat{Member: daemon.Self(), Report: daemon.Decider.Report()})
 	// The word needs a beat, a share among control daemons and a renewal of the
 	// colleagues' permits to get into every locate.
-	word := daemon.span()/3 + time.Duration(settings.Limits["permit_ms"].Default)*time.Millisecond/3
+	length := time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
 	if tree := daemon.Holder.View().Tree; tree != nil {
-		word = daemon.span()/3 + tree.Span("permit_ms", "")/3
+		length = tree.Span("permit_ms", "")
 	}
+	word := daemon.span()/3 + length/permit.Renewals + length/10
 	loop.Sleep(daemon.World, min(word, grace/4))
 	daemon.Decider.Stop()
 	for daemon.Decider.Running() > 0 && daemon.World.Now()-began < grace {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -716,12 +716,25 @@
 	view := decider.Holder()
 	report := standing.Report{
 		Config: view.Serial, Standing: map[string]uint64{}, Permit: view.Expiry - now, Demand: map[string]float64{}, Overflow: map[string]float64{},
-		InFlight: map[string]int{}, Streams: map[standing.Held]int{}, Recent: ordered(decider.recent(now)), Total: ordered(decider.totals(now)), Queue: len(decider.queue),
+		InFlight: map[string]int{}, Streams: map[standing.Held]int{}, Queue: len(decider.queue),
 		Demanded: decider.counts.Demanded, Retries: decider.counts.Retries, Allowed: decider.counts.Allowed + decider.counts.Redispatches, Declined: map[string]uint64{},
 	}
 	for region, one := range view.Standings {
 		report.Standing[region] = one.Serial
 	}
+	isSteady := steady(view)
+	for _, one := range ordered(decider.recent(now)) {
+		if isSteady(one.Model) && one.Mishaps+one.Unreached+one.Late == 0 {
+			report.Near = append(report.Near, one)
+		} else {
+			report.Recent = append(report.Recent, one)
+		}
+	}
+	for _, one := range ordered(decider.totals(now)) {
+		if !isSteady(one.Model) {
+			report.Total = append(report.Total, one)
+		}
+	}
 	for code, count := range decider.counts.Declined {
 		report.Declined[code] = count
 	}
@@ -744,11 +757,15 @@
 	held := map[string]float64{}
 	away := map[string]float64{}
 	for name, used := range decider.uses {
-		report.InFlight[name] = used.units
-		all := 0
-		for _, count := range used.rows {
+		all, areSteady := 0, len(used.rows) > 0
+		for row, count := range used.rows {
 			all += count
+			areSteady = areSteady && isSteady(row.Model)
+		}
+		if areSteady {
+			continue
 		}
+		report.InFlight[name] = used.units
 		for row, count := range used.rows {
 			report.Streams[row] = count
 			units := float64(used.units) * float64(count) / float64(all)
@@ -762,6 +779,9 @@
 		held[one.model] += float64(one.cost)
 	}
 	for model, flow := range decider.demand {
+		if isSteady(model) {
+			continue
+		}
 		// What it holds now, and what comes within a queue's time.
 		report.Demand[model] = held[model] + flow.rate(now)*0.25
 		if lack := held[model] - local[model]; lack > 0 {
@@ -776,6 +796,39 @@
 	return report
 }
 
+// steady tells which models need no more than a word on mishaps: nobody deals their
+// credits, as they have an engine, and no run can be about them, as replicas hold what
+// they will; and all hold the same version.
+func steady(view *permit.View) func(model string) bool {
+	if view.Tree == nil {
+		return func(string) bool { return false }
+	}
+	versions := map[string]string{}
+	unsteady := map[string]bool{}
+	for _, one := range view.Standings {
+		for _, row := range one.Rows {
+			if version, known := versions[row.Model]; known && version != row.Version || row.Trial || row.Back {
+				unsteady[row.Model] = true
+			}
+			versions[row.Model] = row.Version
+		}
+	}
+	known := map[string]bool{}
+	return func(model string) bool {
+		isSteady, isKnown := known[model]
+		if !isKnown {
+			isSteady = view.Tree.Engine(model) != nil && !unsteady[model]
+			for _, region := range view.Tree.Regions() {
+				if placement, placed := view.Tree.Placement(model, region); placed && !placement.Any() {
+					isSteady = false
+				}
+			}
+			known[model] = isSteady
+		}
+		return isSteady
+	}
+}
+
 func (decider *Decider) flow(table map[string]*flow, model string) *flow {
 	one := table[model]
 	if one == nil {
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,9 +38,13 @@
 	Standings map[string]standing.Standing
 	// Kept is, by region, the latest time at which the standing is known to have
 	// been up to date.
-	Kept    map[string]time.Duration
+	Kept map[string]time.Duration
+	// Members have their uptimes as of told; they came, with their sum, at listed.
 	Members []session.Member
 	Expiry  time.Duration
+	sum     uint64
+	told    time.Duration
+	listed  time.Duration
 }
 
 // Stands tells whether the permit lets the daemon serve at the time.
@@ -67,6 +72,7 @@
 	floor    uint64
 	view     atomic.Pointer[View]
 	waker    *loop.Waker
+	isLate   atomic.Bool // the last ask brought no grant
 	Declined atomic.Pointer[string]
 }
 
@@ -80,14 +86,27 @@
 // View is what to go by now; ask its Stands at the last moment.
 func (holder *Holder) View() *View { return holder.view.Load() }
 
-// Run renews the permit until the world ends.
+// Run renews the permit until the world ends: each third of its length, and each
+// sixth while asks bring none, so that two in a row may go unheard.
 func (holder *Holder) Run() {
-	holder.waker.Run(holder.World, func() time.Duration { return holder.span() / 6 }, func() bool {
-		holder.Renew()
+	holder.waker.Run(holder.World, func() time.Duration {
+		if holder.isLate.Load() {
+			return holder.span() / 6
+		}
+		return holder.span() / Renewals
+	}, func() bool {
+		holder.isLate.Store(!holder.Renew())
 		return true
 	})
 }
 
+// relisted is after which time members are asked for anew even if they are the same,
+// as clocks part that uptimes are reckoned on by.
+const relisted = 30 * time.Second
+
+// Renewals is how often a permit is renewed in its length.
+const Renewals = 3
+
 func (holder *Holder) span() time.Duration {
 	if tree := holder.View().Tree; tree != nil {
 		return tree.Span("permit_ms", "")
@@ -100,6 +119,9 @@
 	asked := holder.World.Now()
 	have := holder.View()
 	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}}
+	if asked-have.listed < relisted {
+		ask.Members = have.sum
+	}
 	for region, one := range have.Standings {
 		ask.Standings[region] = one.Serial
 	}
@@ -152,7 +174,15 @@
 	for region, age := range grant.Kept {
 		next.Kept[region] = max(next.Kept[region], asked-age)
 	}
-	next.Members = grant.Members
+	if next.told = holder.World.Now(); grant.Members != nil || grant.Sum != have.sum {
+		next.Members, next.sum, next.listed = grant.Members, grant.Sum, next.told
+	} else {
+		// The same incarnations: each has been up for as much longer.
+		next.Members = slices.Clone(have.Members)
+		for index := range next.Members {
+			next.Members[index].Uptime += next.told - have.told
+		}
+	}
 	next.Expiry = max(have.Expiry, asked+grant.Length)
 	holder.view.Store(&next)
 	holder.guard.Unlock()
--- a/permit/office.go
+++ b/permit/office.go
@@ -54,6 +54,8 @@
 	// Config and Standings are what it has already.
 	Config    uint64
 	Standings map[string]uint64
+	// Members is the sum of the members that it has.
+	Members uint64
 }
 
 // Grant is the permit. Its length counts from before the ask was sent.
@@ -63,8 +65,11 @@
 	Standings []standing.Standing
 	// Kept are the regions whose standing, as the asker has it now, is kept up to
 	// date, and how long ago that was found: only these are handed out.
-	Kept    map[string]time.Duration
+	Kept map[string]time.Duration
+	// Members are left out if the asker has them already, as their sum tells. What
+	// control daemons tell only each other is not in them.
 	Members []session.Member
+	Sum     uint64
 	Length  time.Duration
 	// Declined says why there is none.
 	Declined string
@@ -91,6 +96,8 @@
 	// retiring is since when a holder has been without a session.
 	retiring map[string]time.Duration
 	granted  uint64
+	// standings are those last read, by region; they are never changed.
+	standings map[string]standing.Standing
 }
 
 // Current is the newest configuration that this daemon has read.
@@ -198,13 +205,12 @@
 		}
 		for _, region := range fresh.Regions() {
 			value := values[StandingPrefix+region]
-			var one standing.Standing
+			one, isRead := office.standing(region, value)
 			// A standing that nobody keeps may be from before everything went
 			// down; its replicas may be cold by now.
-			if value.Serial == 0 || json.Unmarshal(value.Data, &one) != nil {
+			if !isRead {
 				continue
 			}
-			one.Serial = value.Serial
 			age, isKept := office.Kept(region, one)
 			if !isKept {
 				continue
@@ -215,8 +221,12 @@
 			}
 		}
 		for _, one := range office.Table.Live("") {
+			one.Member.Duties, one.Member.Keeps = nil, nil
 			grant.Members = append(grant.Members, one.Member)
 		}
+		if grant.Sum = session.Sum(grant.Members); grant.Sum == ask.Members {
+			grant.Members = nil
+		}
 		grant.Length = fresh.Span("permit_ms", "")
 		// A daemon that slept between its readings may hold a configuration that
 		// was replaced long ago; the holder counts from before it asked, so such
@@ -234,6 +244,30 @@
 	return nil
 }
 
+// standing gives what the register of a region's standing holds, which it reads once.
+func (office *Office) standing(region string, value register.Value) (standing.Standing, bool) {
+	office.guard.Lock()
+	have, known := office.standings[region]
+	office.guard.Unlock()
+	if known && value.Serial > 0 && have.Serial == value.Serial {
+		return have, true
+	}
+	var one standing.Standing
+	if value.Serial == 0 || json.Unmarshal(value.Data, &one) != nil {
+		return one, false
+	}
+	one.Serial = value.Serial
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	if office.standings == nil {
+		office.standings = map[string]standing.Standing{}
+	}
+	if office.standings[region].Serial < one.Serial {
+		office.standings[region] = one
+	}
+	return one, true
+}
+
 // enrol records a holder. An older incarnation of the name is thereby gone.
 func (office *Office) enrol(key string, record Record) error {
 	data, err := json.Marshal(record)
--- a/session/session.go
+++ b/session/session.go
@@ -67,27 +67,25 @@
 type Beat struct {
 	Member Member
 	Report standing.Report
+	// Known is the sum of the control daemons that it knows.
+	Known uint64
 	// Over ends the session at once.
 	Over bool
 }
 
-// Answer tells a daemon where control daemons are, and the core.
+// Answer tells a daemon where control daemons are, unless it knows by their sum.
 type Answer struct {
 	Controls []Member
-	Core     register.Core
-}
-
-// Shared is what one control daemon tells another.
-type Shared struct {
-	From     Member
-	Sessions []Session
-	Core     register.Core
+	Sum      uint64
 }
 
 type row struct {
 	Session
 	heard  time.Duration
 	direct bool
+	// slot and told are a direct row's, for the colleagues.
+	slot uint64
+	told told
 }
 
 // Options of a table.
@@ -115,11 +113,16 @@
 	rows  map[string]row
 	over  map[string]time.Duration // incarnations that have said goodbye
 	began time.Duration
+	// slots counts the slots given, and serials the contents; neither ever falls.
+	slots, serials uint64
+	own            told                  // this daemon's own word
+	tales          map[string]*tale      // by colleague's incarnation: what it tells
+	colleaguesHave map[string]*colleague // by address: what it is known to have
 }
 
 // NewTable makes an empty table.
 func NewTable(options Options) *Table {
-	return &Table{Options: options, rows: map[string]row{}, over: map[string]time.Duration{}, began: options.World.Now()}
+	return &Table{Options: options, rows: map[string]row{}, over: map[string]time.Duration{}, tales: map[string]*tale{}, colleaguesHave: map[string]*colleague{}, began: options.World.Now()}
 }
 
 // Beat takes a daemon's word.
@@ -132,55 +135,17 @@
 			delete(table.rows, beat.Member.Name)
 		}
 	} else if _, gone := table.over[beat.Member.Incarnation]; !gone {
-		table.rows[beat.Member.Name] = row{Session: Session{Member: beat.Member, Report: beat.Report}, heard: now, direct: true}
+		table.hear(row{Session: Session{Member: beat.Member, Report: beat.Report}, heard: now, direct: true})
 	}
 	table.guard.Unlock()
 	for _, one := range table.Live(Control) {
+		one.Member.Duties, one.Member.Keeps = nil, nil
 		answer.Controls = append(answer.Controls, one.Member)
 	}
-	answer.Core = table.Keeper.Core()
-	return nil
-}
-
-// Share takes a colleague's sessions and gives this one's direct ones.
-func (table *Table) Share(shared Shared, back *Shared) error {
-	table.take(shared)
-	*back = table.give()
-	return nil
-}
-
-func (table *Table) take(shared Shared) {
-	table.Keeper.Learn(shared.Core)
-	now := table.World.Now()
-	table.guard.Lock()
-	defer table.guard.Unlock()
-	for index, one := range append(shared.Sessions, Session{Member: shared.From}) {
-		heard := now - one.Age
-		have, known := table.rows[one.Member.Name]
-		_, gone := table.over[one.Member.Incarnation]
-		if gone || one.Member.Name == table.Self.Name || known && have.heard >= heard {
-			continue
-		}
-		// A colleague's own word is heard first hand and passed on like a beat:
-		// control daemons that are nobody's seed learn of each other by it.
-		table.rows[one.Member.Name] = row{Session: one, heard: heard, direct: index == len(shared.Sessions)}
+	if answer.Sum = Sum(answer.Controls); answer.Sum == beat.Known {
+		answer.Controls = nil
 	}
-}
-
-func (table *Table) give() Shared {
-	now := table.World.Now()
-	table.guard.Lock()
-	defer table.guard.Unlock()
-	out := Shared{From: table.self(), Core: table.Keeper.Core()}
-	for _, one := range table.rows {
-		if one.direct && now-one.heard < table.Span() {
-			session := one.Session
-			session.Age = now - one.heard
-			out.Sessions = append(out.Sessions, session)
-		}
-	}
-	sort.Slice(out.Sessions, func(a, b int) bool { return out.Sessions[a].Member.Name < out.Sessions[b].Member.Name })
-	return out
+	return nil
 }
 
 func (table *Table) self() Member {
@@ -259,28 +224,6 @@
 	return ""
 }
 
-// Run shares the sessions with the colleagues until the world ends.
-func (table *Table) Run() {
-	loop.Every(table.World, func() time.Duration { return table.Span() / 6 }, func() bool {
-		shared := table.give()
-		addresses := table.colleagues()
-		loop.Gather(table.World, len(addresses), table.Span()/4, func(index int) *Shared {
-			back := new(Shared)
-			if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
-				return nil
-			}
-			return back
-		}, func(_ int, back *Shared) bool {
-			if back != nil {
-				table.take(*back)
-			}
-			return false
-		})
-		table.sweep()
-		return true
-	})
-}
-
 // colleagues are the control daemons to tell: the live ones and the seeds.
 func (table *Table) colleagues() []string {
 	var addresses []string
@@ -314,6 +257,16 @@
 			delete(table.rows, name)
 		}
 	}
+	for incarnation, one := range table.tales {
+		if now-one.heard > 4*table.Span() {
+			delete(table.tales, incarnation)
+		}
+	}
+	for address, one := range table.colleaguesHave {
+		if now-one.answered > 100*table.Span() {
+			delete(table.colleaguesHave, address)
+		}
+	}
 	for incarnation, when := range table.over {
 		if now-when > 4*table.Span() {
 			delete(table.over, incarnation)
@@ -334,7 +287,10 @@
 
 	guard    sync.Mutex
 	controls []Member
+	known    uint64 // the sum of controls
 	at       string
+	// shunned is until when a control daemon that gave no good answer comes last.
+	shunned map[string]time.Duration
 }
 
 // Controls are addresses of control daemons, the best first.
@@ -349,20 +305,33 @@
 			addresses = append(addresses, address)
 		}
 	}
-	add(client.at)
-	for _, near := range []bool{true, false} {
-		for _, member := range client.controls {
-			if (member.Region == client.Region) == near && !member.Leaving {
-				add(member.Wire)
+	near := func(wanted bool) {
+		// The one that answered last comes first among the near, or the far.
+		for _, isLast := range []bool{true, false} {
+			for _, member := range client.controls {
+				if (member.Region == client.Region) == wanted && (member.Wire == client.at) == isLast && !member.Leaving {
+					add(member.Wire)
+				}
 			}
 		}
 	}
+	near(true)
+	add(client.at)
+	near(false)
 	for _, seed := range client.Seeds() {
 		add(seed)
 	}
+	now := client.World.Now()
+	sort.SliceStable(addresses, func(a, b int) bool {
+		return now >= client.shunned[addresses[a]] && now < client.shunned[addresses[b]]
+	})
 	return addresses
 }
 
+// shunnedSpans is for how many sessions a control daemon that gave no good answer
+// comes last.
+const shunnedSpans = 4
+
 // Ask calls the control daemons in turn until one gives an answer that will do,
 // and stays with that one. If none does, the last that answered is heard.
 func (client *Client) Ask(method string, args any, fresh func() any, willDo func(reply any) bool, patience time.Duration) (any, error) {
@@ -374,6 +343,7 @@
 		if err == nil && willDo(reply) {
 			client.guard.Lock()
 			client.at = address
+			delete(client.shunned, address)
 			client.guard.Unlock()
 			return reply, nil
 		}
@@ -385,6 +355,10 @@
 		if client.at == address {
 			client.at = ""
 		}
+		if client.shunned == nil {
+			client.shunned = map[string]time.Duration{}
+		}
+		client.shunned[address] = client.World.Now() + shunnedSpans*client.Span()
 		client.guard.Unlock()
 	}
 	if poor != nil {
@@ -403,12 +377,17 @@
 
 // Say gives one beat and learns from the answer.
 func (client *Client) Say(beat Beat) bool {
+	client.guard.Lock()
+	beat.Known = client.known
+	client.guard.Unlock()
 	reply, err := client.Ask("Session.Beat", beat, func() any { return new(Answer) }, func(any) bool { return true }, client.Span()/4)
 	if err != nil {
 		return false
 	}
 	client.guard.Lock()
 	defer client.guard.Unlock()
-	client.controls = reply.(*Answer).Controls
+	if answer := reply.(*Answer); answer.Sum != client.known {
+		client.controls, client.known = answer.Controls, answer.Sum
+	}
 	return true
 }
--- /dev/null
+++ b/session/share.go
@@ -0,0 +1,311 @@
+package session
+
+import (
+	"hash/fnv"
+	"maps"
+	"reflect"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"swifttiller/loop"
+	"swifttiller/register"
+)
+
+// Shared is what one control daemon tells another, and the other's answer.
+//
+// Invariant: a call's Marks name all sessions that the caller has heard first hand,
+// its own word (slot 0) included; Sessions are those of them whose contents the callee
+// is not known to have.
+type Shared struct {
+	From     string // the incarnation of who tells
+	Marks    []Mark
+	Sessions []Content
+	// Epoch is the teller's core's. Core is left out where the other knows it.
+	Epoch uint64
+	Core  register.Core
+	// Lacks are, in an answer, the slots whose contents the callee does not have, or
+	// has older.
+	Lacks []uint64
+}
+
+// Mark says that a session stands: its content under the serial is the teller's newest,
+// and it was heard Age ago. Times are in milliseconds, rounded to the careful side.
+type Mark struct {
+	Slot, Serial uint64
+	Age          uint64
+	// Permit is what a data daemon's permit had left when it was heard.
+	Permit uint64
+	// Kept are, in the order of their regions, the ages of what a control daemon keeps.
+	Kept []uint64
+}
+
+// Content is a session's content.
+type Content struct {
+	Slot, Serial uint64
+	Session      Session
+}
+
+// told is what is told of a row: its content with what marks tell left out, and the
+// serials that it has for colleagues in the same region and elsewhere.
+type told struct {
+	content    Session
+	near, far  uint64
+	at         time.Duration // when the far serial was given
+	hasContent bool
+}
+
+// tale is what a colleague tells.
+type tale struct {
+	heard time.Duration
+	slots map[uint64]heard
+}
+
+type heard struct {
+	serial uint64
+	// session is as it was when it was heard, at.
+	session Session
+	at      time.Duration
+}
+
+// colleague is what another control daemon is known to have of this one's sessions:
+// serials by slot.
+type colleague struct {
+	serials  map[uint64]uint64
+	epoch    uint64
+	answered time.Duration
+}
+
+// slowly is how many sessions apart counts alone are told again.
+const slowly = 4
+
+// Sum is a sum over who the members are, and not over how long they have been up,
+// what they hold and what they keep.
+func Sum(members []Member) uint64 {
+	sum := fnv.New64a()
+	for _, one := range members {
+		for _, word := range []string{one.Name, one.Incarnation, one.Role, one.Region, one.Zone, one.Wire, one.HTTP, one.Door, one.Acceptor, strconv.FormatBool(one.Leaving)} {
+			_, _ = sum.Write([]byte(word))
+			_, _ = sum.Write([]byte{0})
+		}
+	}
+	return max(1, sum.Sum64())
+}
+
+// content is the session without what marks tell.
+func content(session Session) Session {
+	session.Age, session.Member.Uptime, session.Report.Permit = 0, 0, 0
+	keeps := session.Member.Keeps
+	session.Member.Keeps = nil
+	if len(keeps) > 0 {
+		session.Member.Keeps = map[string]Keeping{}
+		for region, one := range keeps {
+			one.Age = 0
+			session.Member.Keeps[region] = one
+		}
+	}
+	return session
+}
+
+// next gives what is told of a session from now on. Near are the outcomes that only
+// colleagues in the region are told, and counts alone make nobody listen again soon.
+func (table *Table) next(before told, session Session, now time.Duration) told {
+	next := before
+	next.content = content(session)
+	if before.hasContent && reflect.DeepEqual(before.content, next.content) {
+		return before
+	}
+	table.serials++
+	next.near, next.hasContent = table.serials, true
+	older, newer := before.content, next.content
+	older.Report.Near, newer.Report.Near = nil, nil
+	for _, one := range []*Session{&older, &newer} {
+		one.Report.Demanded, one.Report.Retries, one.Report.Allowed, one.Report.Queue = 0, 0, 0, 0
+	}
+	if !before.hasContent || now-before.at > slowly*table.Span() || !reflect.DeepEqual(older, newer) {
+		next.far, next.at = table.serials, now
+	}
+	return next
+}
+
+// hear takes a row into the table; who holds the guard calls it.
+func (table *Table) hear(one row) {
+	if one.direct {
+		have := table.rows[one.Member.Name]
+		if one.slot = have.slot; one.slot == 0 || have.Member.Incarnation != one.Member.Incarnation {
+			table.slots++
+			one.slot, have.told = table.slots, told{}
+		}
+		one.told = table.next(have.told, one.Session, one.heard)
+	}
+	table.rows[one.Member.Name] = one
+}
+
+// Share takes a colleague's sessions, and says what it did not understand.
+func (table *Table) Share(shared Shared, back *Shared) error {
+	table.Keeper.Learn(shared.Core)
+	lacks, sessions := table.understand(shared)
+	table.take(shared.From, sessions)
+	core := table.Keeper.Core()
+	*back = Shared{From: table.Self.Incarnation, Epoch: core.Epoch, Lacks: lacks}
+	if shared.Epoch < core.Epoch {
+		back.Core = core
+	}
+	return nil
+}
+
+// understand fills marks with the contents that they name.
+func (table *Table) understand(shared Shared) (lacks []uint64, sessions []Session) {
+	now := table.World.Now()
+	table.guard.Lock()
+	defer table.guard.Unlock()
+	tells := table.tales[shared.From]
+	if tells == nil {
+		tells = &tale{}
+		table.tales[shared.From] = tells
+	}
+	tells.heard = now
+	before := tells.slots
+	tells.slots = map[uint64]heard{}
+	fresh := map[uint64]Content{}
+	for _, one := range shared.Sessions {
+		fresh[one.Slot] = one
+	}
+	for _, mark := range shared.Marks {
+		at := now - time.Duration(mark.Age)*time.Millisecond
+		have, known := before[mark.Slot]
+		if one, isSent := fresh[mark.Slot]; isSent && (!known || have.serial < one.Serial) {
+			have, known = heard{one.Serial, one.Session, at}, true
+		}
+		if known {
+			tells.slots[mark.Slot] = have
+		}
+		if !known || have.serial < mark.Serial {
+			lacks = append(lacks, mark.Slot)
+		}
+		// A content that is newer than its mark belongs to a call that has overtaken
+		// this one; nothing is to be learned.
+		if !known || have.serial != mark.Serial {
+			continue
+		}
+		session := have.session
+		session.Age = time.Duration(mark.Age) * time.Millisecond
+		session.Member.Uptime += max(0, at-have.at)
+		session.Report.Permit = time.Duration(mark.Permit) * time.Millisecond
+		if len(mark.Kept) == len(session.Member.Keeps) && len(mark.Kept) > 0 {
+			keeps := map[string]Keeping{}
+			for index, region := range slices.Sorted(maps.Keys(session.Member.Keeps)) {
+				one := session.Member.Keeps[region]
+				one.Age = time.Duration(mark.Kept[index]) * time.Millisecond
+				keeps[region] = one
+			}
+			session.Member.Keeps = keeps
+		}
+		sessions = append(sessions, session)
+	}
+	return lacks, sessions
+}
+
+// take takes sessions that the incarnation of a colleague tells, its own among them.
+func (table *Table) take(from string, sessions []Session) {
+	now := table.World.Now()
+	table.guard.Lock()
+	defer table.guard.Unlock()
+	for _, one := range sessions {
+		heard := now - one.Age
+		have, known := table.rows[one.Member.Name]
+		_, gone := table.over[one.Member.Incarnation]
+		if gone || one.Member.Name == table.Self.Name || known && have.heard >= heard {
+			continue
+		}
+		// A colleague's own word is heard first hand and passed on like a beat:
+		// control daemons that are nobody's seed learn of each other by it.
+		table.hear(row{Session: one, heard: heard, direct: one.Member.Incarnation == from})
+	}
+}
+
+// give is what to tell a colleague that has what is given.
+func (table *Table) give(address string) (Shared, map[uint64]uint64) {
+	now := table.World.Now()
+	table.guard.Lock()
+	defer table.guard.Unlock()
+	have := table.colleaguesHave[address]
+	if have == nil {
+		have = &colleague{}
+	}
+	isNear := false
+	for _, one := range table.rows {
+		isNear = isNear || one.Member.Wire == address && one.Member.Region == table.Self.Region
+	}
+	core := table.Keeper.Core()
+	out := Shared{From: table.Self.Incarnation, Epoch: core.Epoch}
+	if core.Epoch > have.epoch {
+		out.Core = core
+	}
+	serials := map[uint64]uint64{}
+	tell := func(slot uint64, told told, session Session, age time.Duration) {
+		mark := Mark{Slot: slot, Serial: told.far, Age: uint64((age + time.Millisecond - 1) / time.Millisecond), Permit: uint64(max(0, session.Report.Permit) / time.Millisecond)}
+		if isNear {
+			mark.Serial = told.near
+		}
+		for _, region := range slices.Sorted(maps.Keys(session.Member.Keeps)) {
+			mark.Kept = append(mark.Kept, uint64((session.Member.Keeps[region].Age+time.Millisecond-1)/time.Millisecond))
+		}
+		out.Marks = append(out.Marks, mark)
+		serials[slot] = mark.Serial
+		if have.serials[slot] == mark.Serial {
+			return
+		}
+		if !isNear {
+			session.Report.Near = nil
+		}
+		out.Sessions = append(out.Sessions, Content{slot, mark.Serial, session})
+	}
+	for _, one := range table.rows {
+		if one.direct && now-one.heard < table.Span() {
+			tell(one.slot, one.told, one.Session, now-one.heard)
+		}
+	}
+	self := Session{Member: table.self()}
+	table.own = table.next(table.own, self, now)
+	tell(0, table.own, self, 0)
+	sort.Slice(out.Marks, func(a, b int) bool { return out.Marks[a].Slot < out.Marks[b].Slot })
+	sort.Slice(out.Sessions, func(a, b int) bool { return out.Sessions[a].Slot < out.Sessions[b].Slot })
+	return out, serials
+}
+
+// answered notes what a colleague has now.
+func (table *Table) answered(address string, serials map[uint64]uint64, back *Shared) {
+	table.Keeper.Learn(back.Core)
+	table.guard.Lock()
+	defer table.guard.Unlock()
+	for _, slot := range back.Lacks {
+		delete(serials, slot)
+	}
+	table.colleaguesHave[address] = &colleague{serials: serials, epoch: back.Epoch, answered: table.World.Now()}
+}
+
+// Run shares the sessions with the colleagues until the world ends.
+func (table *Table) Run() {
+	loop.Every(table.World, func() time.Duration { return table.Span() / 6 }, func() bool {
+		addresses := table.colleagues()
+		loop.Gather(table.World, len(addresses), table.Span()/4, func(index int) bool {
+			// One that lacks something, as it began anew, is told at once.
+			for try := 0; try < 2; try++ {
+				shared, serials := table.give(addresses[index])
+				back := new(Shared)
+				if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
+					return false
+				}
+				table.answered(addresses[index], serials, back)
+				if len(back.Lacks) == 0 {
+					break
+				}
+			}
+			return true
+		}, func(int, bool) bool { return false })
+		table.sweep()
+		return true
+	})
+}
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -64,6 +64,9 @@
 	// Recent covers the last few seconds; Total everything since its start, with
 	// the region in the replica's place.
 	Recent, Total []Outcome
+	// Near are recent outcomes that only its own region needs to hear of: whole ones,
+	// of models that no run is about and whose credits nobody deals.
+	Near []Outcome
 	// Retries and Allowed count what the retry budget saw and let pass.
 	Demanded, Retries, Allowed uint64
 	Declined                   map[string]uint64
@@ -241,11 +244,13 @@
 func Gather(daemons []Daemon) map[Outcome]Outcome {
 	sums := map[Outcome]Outcome{}
 	for _, daemon := range daemons {
-		for _, one := range daemon.Report.Recent {
-			key := one.Key()
-			sum := sums[key]
-			sum.Add(one)
-			sums[key] = sum
+		for _, list := range [][]Outcome{daemon.Report.Recent, daemon.Report.Near} {
+			for _, one := range list {
+				key := one.Key()
+				sum := sums[key]
+				sum.Add(one)
+				sums[key] = sum
+			}
 		}
 	}
 	return sums
