No turns of runs for models that have none and can have none

Cause: the turns of runs read five registers a model, each half second, one after the other, also where replicas hold what they will and no run was ever made. Their registers are now read with the standing's tick, in one round; while they were never written there is nothing to turn.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -18,6 +18,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/workflow"
 )
 
 // watched is a replica as this daemon's probes have seen it.
@@ -62,6 +63,9 @@
 	// wrote it, under the duty.
 	proved time.Duration
 	routes map[string]standing.Route // as last read
+	// idle are models about which there is no run, nor ever was one, nor can be by
+	// itself, as last read.
+	idle   map[string]bool
 	runner *rollout.Runner
 	failed string
 	// evacuated are the zones that were, when the table was last read.
@@ -113,7 +117,7 @@
 			region.table = map[string]*watched{}
 			region.runner = nil
 		} else if region.duty != serial {
-			region.duty, region.seeded, region.before = serial, false, nil
+			region.duty, region.seeded, region.before, region.idle = serial, false, nil, nil
 			region.runner, region.since, region.listAt = nil, region.World.Now(), 0
 		}
 		region.guard.Unlock()
@@ -278,7 +282,7 @@
 	models := tree.Models(region.name)
 	keys := []string{permit.StandingPrefix + region.name}
 	for _, model := range models {
-		keys = append(keys, rollout.ModelPrefix+model)
+		keys = append(keys, rollout.ModelPrefix+model, rollout.DelayedPrefix+model, workflow.Prefix+rollout.Key(model, region.name))
 	}
 	values, err := region.ReadMany(keys...)
 	if err != nil {
@@ -315,8 +319,14 @@
 			}
 		}
 	}
+	idle := map[string]bool{}
+	for _, model := range models {
+		placement, _ := tree.Placement(model, region.name)
+		idle[model] = placement.Any() && values[rollout.ModelPrefix+model].Serial == 0 && values[rollout.DelayedPrefix+model].Serial == 0 &&
+			values[workflow.Prefix+rollout.Key(model, region.name)].Serial == 0
+	}
 	region.guard.Lock()
-	region.routes = input.Routes
+	region.routes, region.idle = input.Routes, idle
 	region.guard.Unlock()
 	next := standing.Compute(input)
 	if before.Serial > 0 && standing.Same(*before, next) {
@@ -395,13 +405,13 @@
 	if region.runner == nil {
 		region.runner = &rollout.Runner{World: region.World, Objects: region.Objects, Book: region.Book, Client: region.Replicas, Point: region.Point}
 	}
-	runner, seeded, routes := region.runner, region.seeded, region.routes
+	runner, seeded, routes, idle := region.runner, region.seeded, region.routes, region.idle
 	region.guard.Unlock()
 	if !seeded || region.unprobed(tree) {
 		return
 	}
 	_, whole, _ := region.Office.Current()
-	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes}
+	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes, Idle: idle}
 	scene.Daemons, scene.Incarnations = region.daemons()
 	for _, zone := range whole.Evacuated {
 		scene.Evacuated[zone] = true
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -50,6 +50,9 @@
 	Incarnations map[string]string
 	// Routes are the region's, as last read.
 	Routes map[string]standing.Route
+	// Idle are models about which there is no run, nor ever was one, nor can be by
+	// itself: nothing is read for them.
+	Idle map[string]bool
 }
 
 // Runner turns a region's runs and brings its replicas to the wanted state.
@@ -107,6 +110,9 @@
 	}
 	var failed error
 	for _, model := range scene.Tree.Models(scene.Region) {
+		if scene.Idle[model] {
+			continue
+		}
 		if err := runner.turn(scene, model); err != nil && !errors.Is(err, workflow.ErrWait) {
 			failed = fmt.Errorf("roll-out of %s in %s: %w", model, scene.Region, err)
 		}
