--- a/rollout/run.go
+++ b/rollout/run.go
@@ -59,6 +59,9 @@
 	// Watched is for how long this daemon has listened to the others' sessions; what
 	// Daemons does not show after one session bound is not there.
 	Watched time.Duration
+	// Idle are models about which there is no run, nor ever was one, nor can be by
+	// itself: nothing is read for them.
+	Idle map[string]bool
 }
 
 // Runner turns a region's runs and brings its replicas to the wanted state.
@@ -121,6 +124,9 @@
 	}
 	var failed error
 	for _, model := range scene.Tree.Models(scene.Region) {
+		if scene.Idle[model] {
+			continue
+		}
 		if err := runner.turn(scene, model); err != nil && !errors.Is(err, workflow.ErrWait) {
 			failed = fmt.Errorf("roll-out of %s in %s: %w", model, scene.Region, err)
 		}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -48,8 +48,8 @@
 // TCP is the real net.
 //
 // Invariant: a client in lines has had no call expire on it; one that has is
-// closed and forgotten, so that a frozen machine's old connection is not used
-// again once it wakes.
+// forgotten, so that a frozen machine's old connection is not used again once it
+// wakes, and closed soon after.
 type TCP struct {
 	World loop.World
 	guard sync.Mutex
@@ -81,6 +81,21 @@
 	return line, nil
 }
 
+// retire takes a line on which a call expired out of use. Calls that others wait for on
+// it may yet end; they would all be lost for one slow one, and made anew, which slows a
+// narrow way further. It is closed after as long as the expired one was waited for.
+func (tcp *TCP) retire(address string, line *rpc.Client, patience time.Duration) {
+	tcp.guard.Lock()
+	if tcp.lines[address] == line {
+		delete(tcp.lines, address)
+	}
+	tcp.guard.Unlock()
+	tcp.World.Go(func() {
+		loop.Sleep(tcp.World, patience)
+		line.Close()
+	})
+}
+
 func (tcp *TCP) forget(address string, line *rpc.Client) {
 	tcp.guard.Lock()
 	if tcp.lines[address] == line {
@@ -105,7 +120,7 @@
 		go func() { box.Put(line.Call(method, args, reply)) }()
 		ended, ok := box.Take(expiry - tcp.World.Now())
 		if !ok {
-			tcp.forget(address, line)
+			tcp.retire(address, line, patience)
 			return &Mishap{Address: address, Method: method, Sent: true, Cause: ErrExpired}
 		}
 		if ended == nil {
