Rounds of reading overlap; a permit takes settled standings only

Cause: where regions are 110 ms apart a permit's renewal, two rounds that each waited for the one under way and for keys being written, outlasted its patience of 450 ms; permits lapsed some 20 times before traffic began, and a standing 4.5 s old let a request reach a replica 5.01 s after it had said that it leaves. Ruled out: the processors (0.02 of a core), the listing (the standing was right 0.4 s after the list).

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -167,6 +167,9 @@
 			have.probed = false
 			region.table[one.ID] = have
 		}
+		if one.Leaving && !have.leaving {
+			region.Log.Info("a replica is leaving", zap.String("region", region.name), zap.String("replica", one.ID))
+		}
 		have.Listed = one
 		have.unlisted = false
 		have.leaving = have.leaving || one.Leaving
@@ -367,6 +370,7 @@
 		return
 	}
 	next.Serial = value.Serial
+	region.Log.Info("a standing was written", zap.String("region", region.name), zap.Uint64("serial", next.Serial), zap.Strings("replicas", next.Shown()), zap.Duration("took", region.World.Now()-now))
 	region.keep(serial, &next, now, now)
 }
 
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -132,7 +132,7 @@
 	for region, one := range have.Standings {
 		ask.Standings[region] = one.Serial
 	}
-	reply, err := holder.Client.Ask("Permit.Renew", ask, func() any { return new(Grant) }, func(reply any) bool { return reply.(*Grant).Declined == "" }, holder.span()/4)
+	reply, err := holder.Client.Ask("Permit.Renew", ask, func() any { return new(Grant) }, func(reply any) bool { return reply.(*Grant).Declined == "" }, holder.span()/2)
 	if err != nil {
 		reason := err.Error()
 		holder.Declined.Store(&reason)
--- a/permit/office.go
+++ b/permit/office.go
@@ -195,7 +195,10 @@
 			}
 		}
 		// The records first, the configuration after: see Record.
-		values, err := office.Keeper.ReadMany(keys...)
+		values, open, err := office.Keeper.ReadSettled(keys...)
+		if err == nil && slices.Contains(open, holderKey) {
+			values[holderKey], err = office.Keeper.Read(holderKey)
+		}
 		if err != nil {
 			grant.Declined = err.Error()
 			return nil
@@ -237,6 +240,11 @@
 		for _, region := range fresh.Regions() {
 			value := values[StandingPrefix+region]
 			one, isRead := office.standing(region, value)
+			if slices.Contains(open, StandingPrefix+region) {
+				// It is being written: the one before stands until that is done.
+				one, isRead = office.settled(region)
+				value.Serial = one.Serial
+			}
 			// A standing that nobody keeps may be from before everything went
 			// down; its replicas may be cold by now.
 			if !isRead {
@@ -299,6 +307,14 @@
 	return one, true
 }
 
+// settled gives the standing of the region that was read last.
+func (office *Office) settled(region string) (standing.Standing, bool) {
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	one, isRead := office.standings[region]
+	return one, isRead
+}
+
 // enrol records a holder. An older incarnation of the name is thereby gone.
 func (office *Office) enrol(key string, record Record) error {
 	data, err := json.Marshal(record)
--- a/register/read.go
+++ b/register/read.go
@@ -89,6 +89,22 @@
 // keys of them all. A key whose copies differ is completed first, in two rounds of
 // its own. What it gives must not be changed: others may be given the same.
 func (keeper *Keeper) ReadMany(keys ...string) (map[string]Value, error) {
+	values, open, err := keeper.ReadSettled(keys...)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range open {
+		if values[key], err = keeper.complete(key); err != nil {
+			return nil, err
+		}
+	}
+	return values, nil
+}
+
+// ReadSettled reads several keys in one round, and leaves out those that are being
+// written: whose copies differ, so that only a change that keeps the value could tell
+// what it is. They are listed as open.
+func (keeper *Keeper) ReadSettled(keys ...string) (values map[string]Value, open []string, err error) {
 	one := &wish{keys: keys, expiry: keeper.World.Now() + keeper.Patience, box: keeper.World.Mailbox()}
 	keeper.guard.Lock()
 	keeper.wishes = append(keeper.wishes, one)
@@ -100,25 +116,21 @@
 	}
 	got, ok := one.box.Take(keeper.Patience + keeper.Patience/4)
 	if !ok {
-		return nil, ErrNoMajority
+		return nil, nil, ErrNoMajority
 	}
 	answer := got.(found)
 	if answer.err != nil {
-		return nil, answer.err
+		return nil, nil, answer.err
 	}
-	values := make(map[string]Value, len(keys))
+	values = make(map[string]Value, len(keys))
 	for _, key := range keys {
-		if !answer.open[key] {
+		if answer.open[key] {
+			open = append(open, key)
+		} else {
 			values[key] = answer.values[key]
-			continue
 		}
-		value, err := keeper.complete(key)
-		if err != nil {
-			return nil, err
-		}
-		values[key] = value
 	}
-	return values, nil
+	return values, open, nil
 }
 
 // complete makes the newest value of a key whose copies differ decided. Of many
@@ -169,7 +181,7 @@
 
 // read makes rounds as long as somebody waits for one.
 func (keeper *Keeper) read() {
-	for try := 0; ; {
+	for {
 		keeper.guard.Lock()
 		wishes := keeper.wishes
 		keeper.wishes = nil
@@ -191,32 +203,46 @@
 			keys = append(keys, one.keys...)
 		}
 		slices.Sort(keys)
-		answer, astray := keeper.inquire(core, slices.Compact(keys))
-		if answer.err == nil {
-			try = 0
-			for _, one := range wishes {
-				one.box.Put(answer)
-			}
-			continue
-		}
-		if astray != nil {
-			keeper.elsewhere(core, astray)
-			keeper.carry()
-		}
-		keeper.pause(min(try, 2))
-		try++
-		// Who still has patience goes into the next round.
-		var left []*wish
+		// The next round need not wait for this one's end: a far majority would make all
+		// that ask meanwhile wait twice. It only does not follow at once.
+		keeper.World.Go(func() { keeper.satisfy(core, slices.Compact(keys), wishes) })
+		loop.Sleep(keeper.World, roundGap)
+	}
+}
+
+// roundGap is how much later than one round of reading the next one may begin.
+const roundGap = 25 * time.Millisecond
+
+// satisfy makes a round for the wishes; those that it does not satisfy go into a later
+// one, while they have patience.
+func (keeper *Keeper) satisfy(core Core, keys []string, wishes []*wish) {
+	answer, astray := keeper.inquire(core, keys)
+	if answer.err == nil {
 		for _, one := range wishes {
-			if keeper.World.Now() < one.expiry && !keeper.World.Ended() {
-				left = append(left, one)
-			} else {
-				one.box.Put(answer)
-			}
+			one.box.Put(answer)
 		}
-		keeper.guard.Lock()
-		keeper.wishes = append(left, keeper.wishes...)
-		keeper.guard.Unlock()
+		return
+	}
+	if astray != nil {
+		keeper.elsewhere(core, astray)
+		keeper.carry()
+	}
+	keeper.pause(1)
+	var left []*wish
+	for _, one := range wishes {
+		if keeper.World.Now() < one.expiry && !keeper.World.Ended() {
+			left = append(left, one)
+		} else {
+			one.box.Put(answer)
+		}
+	}
+	keeper.guard.Lock()
+	keeper.wishes = append(left, keeper.wishes...)
+	begins := !keeper.isReading && len(left) > 0
+	keeper.isReading = keeper.isReading || begins
+	keeper.guard.Unlock()
+	if begins {
+		keeper.read()
 	}
 }
 
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -202,6 +202,18 @@
 	Warmth map[string]float64
 }
 
+// Shown lists the replicas in the standing, for logs; cold ones are marked.
+func (standing Standing) Shown() (names []string) {
+	for _, place := range standing.Places {
+		name := place.ID
+		if place.Warm < 1 {
+			name += " (cold)"
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // Input is everything that a standing is made of.
 type Input struct {
 	Region    string
