--- a/register/read.go
+++ b/register/read.go
@@ -211,7 +211,7 @@
 }
 
 // roundGap is how much later than one round of reading the next one may begin.
-const roundGap = 25 * time.Millisecond
+const roundGap = 20 * time.Millisecond
 
 // satisfy makes a round for the wishes; those that it does not satisfy go into a later
 // one, while they have patience.
