The core makes, grows and mends itself; ballots belong to their epoch

Cause: on the users' machines nobody gives `init` and `core add`, so a new system had no core, and a machine that came back empty had no vote.

Daemons that are told of a first start make the seeds the first core. The holder of the duty `core` then keeps the core equal to the acceptors that live: one change at a time, only while those that stay, hold the epoch and can vote are a majority of the next core. Daemons find each other by the core on their disks as well as by seeds.

Found on the way, each shown by a test that fails without its guard: an acceptor that kept an undecided value of an older epoch could undo what a newer core had shown; one that answers at a lost one's address could vote twice; an epoch could have two first cores at acceptors.

Ruled out: dropping what an acceptor holds when it installs, as two who carry a change through may have sealed different majorities; growing while one of the core is silent.

--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return nil, err
 		}
-		acceptor.Moved = daemon.Learn
+		acceptor.Moved, acceptor.Name = daemon.Learn, options.Process.Name
 		daemon.Acceptor = acceptor
 		identity = acceptor.ID()
 		var about register.About
@@ -113,13 +113,16 @@
 const roundPatience = 2 * time.Second
 
 // span is the session bound in force.
-func (daemon *Daemon) span() time.Duration {
+func (daemon *Daemon) span() time.Duration { return daemon.limit("session_ms") }
+
+// limit is a limit of time in force for the whole system.
+func (daemon *Daemon) limit(name string) time.Duration {
 	if daemon.Office != nil {
 		if _, _, tree := daemon.Office.Current(); tree != nil {
-			return tree.Span("session_ms", "")
+			return tree.Span(name, "")
 		}
 	}
-	return time.Duration(settings.Limits["session_ms"].Default) * time.Millisecond
+	return time.Duration(settings.Limits[name].Default) * time.Millisecond
 }
 
 // spans is a ratio of the session bound, as a loop's span.
@@ -180,11 +183,11 @@
 	return isMember && one.Member.Role == session.Control && one.Member.Incarnation != incarnation
 }
 
-// duties lists what there is to do, this daemon's own region first.
+// duties lists what there is to do, the core and this daemon's own region first.
 func (daemon *Daemon) duties() []string {
 	_, _, tree := daemon.Office.Current()
 	if tree == nil {
-		return nil
+		return []string{CoreDuty}
 	}
 	names := []string{}
 	for _, region := range tree.Regions() {
@@ -192,7 +195,7 @@
 	}
 	own := RegionDuty + daemon.Process.Region
 	sort.SliceStable(names, func(a, b int) bool { return names[a] == own && names[b] != own })
-	return append(names, JanitorDuty)
+	return append(append([]string{CoreDuty}, names...), JanitorDuty)
 }
 
 // diskless answers for a daemon that is no acceptor.
@@ -253,19 +256,23 @@
 	world.Go(daemon.Duties.Run)
 	world.Go(daemon.watchConfig)
 	world.Go(daemon.janitor)
+	world.Go(daemon.tend)
 	if daemon.Acceptor != nil {
 		world.Go(daemon.repair)
 	}
 }
 
-// discover asks the seeds and colleagues for the core, often while none is
-// known and seldom later.
+// discover asks the seeds and whoever else is known for the core, often while none
+// is known and seldom later.
 func (daemon *Daemon) discover() {
-	turn := 0
-	loop.Every(daemon.World, daemon.spans(1, 2), func() bool {
-		if turn++; daemon.Core().Epoch == 0 || turn%8 == 0 {
-			daemon.Discover(daemon.Live.Seeds())
+	loop.Every(daemon.World, func() time.Duration {
+		if daemon.Core().Epoch == 0 {
+			return daemon.span() / 15
 		}
+		return 4 * daemon.span()
+	}, func() bool {
+		daemon.Discover(daemon.Table.Colleagues())
+		daemon.begin()
 		return !daemon.stopped.Load()
 	})
 }
@@ -300,9 +307,14 @@
 	}
 }
 
-// repair compares this disk's copies with the colleagues'.
+// repair compares this disk's copies with the colleagues', and at once where it has
+// missed a change of the core.
 func (daemon *Daemon) repair() {
-	loop.Every(daemon.World, daemon.spans(4, 1), func() bool {
+	turn := 0
+	loop.Every(daemon.World, daemon.spans(1, 6), func() bool {
+		if turn++; turn%24 != 1 && !daemon.isBehind() {
+			return !daemon.stopped.Load()
+		}
 		mended, err := daemon.Repair(daemon.Acceptor)
 		daemon.mended.Add(int64(mended))
 		if mended > 0 || err != nil {
@@ -312,6 +324,15 @@
 	})
 }
 
+// isBehind tells whether this acceptor belongs to a core that it has not taken over,
+// or gave up what it holds for one.
+func (daemon *Daemon) isBehind() bool {
+	var about register.About
+	_ = daemon.Acceptor.Describe(struct{}{}, &about)
+	core := daemon.Core()
+	return about.Sealed || core.Has(about.ID) && about.Core.Epoch < core.Epoch
+}
+
 func (daemon *Daemon) janitor() {
 	loop.Every(daemon.World, daemon.spans(4, 1), func() bool {
 		if _, held := daemon.Duties.Held(JanitorDuty); held {
--- a/doctor/doctor.go
+++ b/doctor/doctor.go
@@ -111,7 +111,7 @@
 		case status.Core.Has(about.ID) && about.Core.Epoch < status.Core.Epoch:
 			exam.find("acceptor behind", Warning, "it catches up by itself within seconds; if not, look at its log", "%s (%s) is at core epoch %d of %d", name, about.ID, about.Core.Epoch, status.Core.Epoch)
 		case !status.Core.Has(about.ID):
-			exam.find("acceptor outside the core", Watch, "admit it with `controlplane core add "+about.ID+"`, in the place of one that is gone", "%s has a disk but no vote (%s)", name, about.ID)
+			exam.find("acceptor outside the core", Watch, "it is taken in by itself within seconds, up to seven votes, while a majority answers; if not, look at its disk and the ways to it, or `controlplane core add "+about.ID+"`", "%s has a disk but no vote (%s)", name, about.ID)
 		}
 	}
 	exam.copies()
--- a/doctor/doctor_test.go
+++ b/doctor/doctor_test.go
@@ -89,6 +89,8 @@
 		{"not reached", func(park *fleet.Park) { park.Crash("c3"); park.Run(3 * time.Second) }, nil, ""},
 		{"seed names nobody", func(park *fleet.Park) { park.Crash("c3"); park.Run(10 * time.Second) }, nil, ""},
 		{"acceptor outside the core", func(park *fleet.Park) {
+			// The core can't ask it, so it does not take it in.
+			deafen(park, "c3", "Register.Describe")
 			park.Crash("c3")
 			park.Node("c3").Disk.Lose()
 			park.StartControl("c3")
@@ -166,21 +168,11 @@
 		{"acceptor behind", func(park *fleet.Park) {
 			// c2 gives up what it holds, as a change of the core asks, and hears nothing
 			// of the core that takes over.
+			deafen(park, "c2", "Register.Install", "Register.Fetch", "Register.Digest")
 			park.Crash("c3")
 			park.Node("c3").Disk.Lose()
 			park.StartControl("c3")
-			park.Run(3 * time.Second)
-			deafen(park, "c2", "Register.Install", "Register.Fetch", "Register.Digest")
-			park.Must("c1", func(daemon *controlplane.Daemon) error {
-				var gone []string
-				for _, member := range daemon.Core().Members {
-					if member.Address == "c3" {
-						gone = append(gone, member.ID)
-					}
-				}
-				_, err := daemon.ChangeVotes([]string{park.Controls["c3"].Acceptor.ID()}, gone)
-				return err
-			})
+			park.Run(6 * time.Second)
 		}, nil, ""},
 		{"serial behind", func(park *fleet.Park) {
 			deafen(park, "c4", "Register.")
--- a/fleet/faults.go
+++ b/fleet/faults.go
@@ -446,16 +446,7 @@
 		park.StartControl(fresh)
 		park.Run(4 * time.Second)
 		at := park.control()
-		facts.Need("core change", park.Do(at, 20*time.Second, func(daemon *controlplane.Daemon) error {
-			var gone []string
-			for _, member := range daemon.Core().Members {
-				if member.Address == old {
-					gone = append(gone, member.ID)
-				}
-			}
-			_, err := daemon.ChangeVotes([]string{park.Controls[fresh].Acceptor.ID()}, gone)
-			return err
-		}))
+		facts.Must("the new machine has the old one's vote, without an operator", park.Votes(fresh) && len(park.Controls[at].Core().Members) == 3)
 		// The new core decides without the old machine, and one more lost.
 		facts.Need("apply", park.Apply(facts, at))
 	}, nil},
@@ -1128,9 +1119,37 @@
 	return zones
 }
 
+// Votes tells whether every running control daemon knows the machine's present
+// acceptor to be in the core, in which nobody else has its name or address.
+func (park *Park) Votes(name string) bool {
+	for _, at := range park.controls() {
+		if !park.Node(at).Up() || park.Node(at).Frozen() {
+			continue
+		}
+		if park.Controls[name] == nil {
+			return false // starting
+		}
+		is := false
+		for _, member := range park.Controls[at].Core().Members {
+			if member.ID == park.Controls[name].Acceptor.ID() {
+				is = true
+			} else if member.Name == name || member.Address == name {
+				return false
+			}
+		}
+		if !is {
+			return false
+		}
+	}
+	return true
+}
+
 // Readd puts a control machine that came back without its disk into the core
-// in the place of its former self.
+// in the place of its former self, unless the core did so by itself.
 func (park *Park) Readd(name string) error {
+	if park.Until(2*time.Second, func() bool { return park.Votes(name) }) {
+		return nil
+	}
 	at := ""
 	for _, word := range park.Plan.Controls {
 		if other, _ := split(word); other != name && park.Node(other).Up() && !park.Node(other).Frozen() {
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -32,6 +32,8 @@
 	Callers                   []Crowd
 	// Lag and Least are the platform's; Grace its grace when stopping a replica.
 	Lag, Least, Grace time.Duration
+	// First is whether daemons are told that the system starts for the first time.
+	First bool
 }
 
 // Crowd is a stream of like requests from one zone.
@@ -180,7 +182,7 @@
 	if seeds == nil {
 		seeds = park.seeds()
 	}
-	return settings.Process{Name: name, Zone: zone, Region: Region(zone), Wire: name, HTTP: name, Seeds: seeds}
+	return settings.Process{Name: name, Zone: zone, Region: Region(zone), Wire: name, HTTP: name, Seeds: seeds, First: park.First}
 }
 
 // live are a daemon's settings, reread from what the park would start it with.
@@ -307,6 +309,9 @@
 	return names
 }
 
+// Place says in which zone a machine is that the plan does not have.
+func (park *Park) Place(name, zone string) { park.zones[name] = zone }
+
 // Zone of a node.
 func (park *Park) Zone(name string) string { return park.zones[name] }
 
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -17,13 +17,21 @@
 )
 
 // Ballot orders proposals; the proposer's name makes it unique.
+//
+// Invariant: a ballot of an epoch stands above all of the epochs before. What an
+// acceptor took in an older core, and nobody decided, so never wins against what a
+// newer core decided.
 type Ballot struct {
+	Epoch    uint64
 	Round    uint64
 	Proposer string
 }
 
 // Less is the order of ballots.
 func (ballot Ballot) Less(other Ballot) bool {
+	if ballot.Epoch != other.Epoch {
+		return ballot.Epoch < other.Epoch
+	}
 	if ballot.Round != other.Round {
 		return ballot.Round < other.Round
 	}
@@ -44,11 +52,12 @@
 // Trailing is how many changes a trail names.
 const Trailing = 8
 
-// Member is an acceptor of the core: an identity made with its disk, and where
-// it was last known to answer.
+// Member is an acceptor of the core: an identity made with its disk, where it was
+// last known to answer, and the name of its daemon, if that was known.
 type Member struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
+	Name    string `json:"name,omitempty"`
 }
 
 // Core is the set of acceptors of an epoch.
@@ -70,9 +79,20 @@
 	return false
 }
 
+// alike tells whether the same acceptors vote in both.
+func (core Core) alike(other Core) bool {
+	same := len(core.Members) == len(other.Members)
+	for _, member := range core.Members {
+		same = same && other.Has(member.ID)
+	}
+	return same
+}
+
 // Cell is what an acceptor holds of a key.
 //
-// Invariant: Accepted is never above Promised, and neither ever falls.
+// Invariant: Accepted is never above Promised, and neither ever falls. Copies that
+// agree at a majority of a core are a decided value only if Accepted is of that
+// core's epoch: what was installed from the core before may be one of several.
 type Cell struct {
 	Promised Ballot
 	Accepted Ballot
@@ -116,6 +136,8 @@
 	whole   int // records of the whole state that may not last yet
 	// Moved, if set, is told of a core that this acceptor has learned.
 	Moved func(Core)
+	// Name is its daemon's, for whoever makes a core.
+	Name string
 }
 
 // pending is a key with records that may not last yet.
@@ -392,6 +414,7 @@
 // About is what anyone may ask of an acceptor, sick or not.
 type About struct {
 	ID     string
+	Name   string
 	Core   Core
 	Sealed bool
 	Next   Core
@@ -404,7 +427,7 @@
 	acceptor.guard.Lock()
 	defer acceptor.guard.Unlock()
 	state := &acceptor.state
-	*about = About{ID: state.ID, Core: state.Core, Sealed: state.Sealed, Next: state.Next, Keys: len(state.Cells), Disk: acceptor.store.Vitals()}
+	*about = About{ID: state.ID, Name: acceptor.Name, Core: state.Core, Sealed: state.Sealed, Next: state.Next, Keys: len(state.Cells), Disk: acceptor.store.Vitals()}
 	return nil
 }
 
@@ -462,11 +485,12 @@
 	var moved bool
 	vote.settle(acceptor.change(func(state *state) *record {
 		vote.ID, vote.Core, vote.Sealed, vote.Next = state.ID, state.Core, state.Sealed, state.Next
-		if !move.Core.Has(state.ID) || state.Core.Epoch > move.Core.Epoch {
+		isSame := state.Core.Epoch == move.Core.Epoch
+		if !move.Core.Has(state.ID) || state.Core.Epoch > move.Core.Epoch || isSame && !state.Core.alike(move.Core) {
 			vote.Kind = Elsewhere
 			return nil
 		}
-		if state.Core.Epoch == move.Core.Epoch {
+		if isSame {
 			return nil
 		}
 		for key, cell := range move.Cells {
@@ -515,7 +539,7 @@
 		for _, key := range keys {
 			cell := state.Cells[key]
 			at := Bucket(key)
-			digests.Sums[at] = sha256.Sum256(fmt.Appendf(digests.Sums[at][:], "%q %d %q", key, cell.Accepted.Round, cell.Accepted.Proposer))
+			digests.Sums[at] = sha256.Sum256(fmt.Appendf(digests.Sums[at][:], "%q %d %d %q", key, cell.Accepted.Epoch, cell.Accepted.Round, cell.Accepted.Proposer))
 		}
 		return nil
 	})
--- a/register/core.go
+++ b/register/core.go
@@ -120,7 +120,7 @@
 	both := Core{Epoch: core.Epoch, Members: append(append([]Member{}, core.Members...), former.Members...)}
 	var old, next Core
 	ask(keeper, both, "Describe", struct{}{}, keeper.Patience/4, func(about *About, err error) bool {
-		if err != nil {
+		if err != nil && !errors.Is(err, errStranger) {
 			return false
 		}
 		if about.Sealed && about.Core.Epoch >= old.Epoch {
@@ -152,18 +152,14 @@
 		if core.Has(about.ID) {
 			return Core{}, fmt.Errorf("the address %s is the same acceptor as another one", address)
 		}
-		core.Members = append(core.Members, Member{ID: about.ID, Address: address})
+		core.Members = append(core.Members, Member{ID: about.ID, Address: address, Name: about.Name})
 		if about.Core.Epoch > 0 {
 			found = about.Core
 		}
 	}
 	sort.Slice(core.Members, func(a, b int) bool { return core.Members[a].ID < core.Members[b].ID })
 	if found.Epoch > 0 {
-		same := found.Epoch == 1 && len(found.Members) == len(core.Members)
-		for _, member := range core.Members {
-			same = same && found.Has(member.ID)
-		}
-		if !same {
+		if found.Epoch != 1 || !found.alike(core) {
 			return Core{}, fmt.Errorf("there is a core already (epoch %d); use `core add` and `core remove`", found.Epoch)
 		}
 		core = found
@@ -264,8 +260,13 @@
 	return out
 }
 
-// catchUp takes this acceptor into a core that names it and that it missed.
+// catchUp takes this acceptor into a core that names it and that it missed. The
+// first core began with nothing, so one of it that never took part lacks nothing.
 func (keeper *Keeper) catchUp(acceptor *Acceptor, core Core) (int, error) {
+	if core.Epoch == 1 {
+		var vote Vote
+		return 0, acceptor.Install(Move{Core: core}, &vote)
+	}
 	heard, merged := 0, map[string]Cell{}
 	for bucket := 0; bucket < Buckets; bucket++ {
 		heard = 0
@@ -293,8 +294,26 @@
 	return len(merged), nil
 }
 
-// Discover asks the daemons at the addresses for their core and learns it.
+// InStep tells which acceptors of the core hold its epoch, could vote in it now and
+// answer under their own identity, and how many answer as themselves at all.
+func (keeper *Keeper) InStep(core Core) (inStep map[string]bool, answered int) {
+	inStep = map[string]bool{}
+	ask(keeper, core, "Describe", struct{}{}, keeper.Patience/4, func(about *About, err error) bool {
+		if err == nil {
+			answered++
+			if about.Core.Epoch == core.Epoch && !about.Sealed && about.Disk.Broken == "" {
+				inStep[about.ID] = true
+			}
+		}
+		return false
+	})
+	return inStep, answered
+}
+
+// Discover asks the daemons at the addresses for their core and learns it. While no
+// core is known, the first word of one is enough.
 func (keeper *Keeper) Discover(addresses []string) {
+	isLost := keeper.Core().Epoch == 0
 	loop.Gather(keeper.World, len(addresses), keeper.Patience/4, func(index int) Core {
 		var about About
 		if keeper.Net.Call(addresses[index], "Register.Describe", struct{}{}, &about, keeper.Patience/4) != nil {
@@ -303,6 +322,6 @@
 		return about.Core
 	}, func(_ int, core Core) bool {
 		keeper.Learn(core)
-		return false
+		return isLost && core.Epoch > 0
 	})
 }
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -94,11 +94,35 @@
 	return member.Address
 }
 
-func (keeper *Keeper) ballot(above Ballot) Ballot {
+func (keeper *Keeper) ballot(core Core, above Ballot) Ballot {
 	keeper.guard.Lock()
 	defer keeper.guard.Unlock()
 	keeper.round = max(keeper.round, above.Round) + 1
-	return Ballot{Round: keeper.round, Proposer: keeper.Self}
+	return Ballot{Epoch: core.Epoch, Round: keeper.round, Proposer: keeper.Self}
+}
+
+// The answers tell whose they are.
+func (vote *Vote) identity() string   { return vote.ID }
+func (about *About) identity() string { return about.ID }
+
+// errStranger: another acceptor answers at the member's address.
+var errStranger = errors.New("register: another acceptor answers there")
+
+// stranger tells whether an answer must not count as the member's. An address is
+// used again by whoever comes after an acceptor, so two members may lead to one
+// process, and its one vote would count twice. Where to turn to it may tell.
+func stranger(answer any, member Member) bool {
+	one, tells := answer.(interface{ identity() string })
+	if !tells || one.identity() == member.ID {
+		return false
+	}
+	switch one := answer.(type) {
+	case *Vote:
+		return one.Kind != Elsewhere
+	case *Seen:
+		return one.Kind != Elsewhere
+	}
+	return true
 }
 
 // ask calls the method at every member of the core and shows each answer.
@@ -110,6 +134,9 @@
 	loop.Gather(keeper.World, len(core.Members), patience, func(index int) result {
 		answer := new(A)
 		err := keeper.Net.Call(keeper.address(core.Members[index]), "Register."+method, args, answer, patience)
+		if err == nil && stranger(answer, core.Members[index]) {
+			err = errStranger
+		}
 		return result{answer, err}
 	}, func(_ int, got result) bool { return enough(got.answer, got.err) })
 }
@@ -123,7 +150,8 @@
 }
 
 // ReadMany reads several keys; in the quiet case in one round without a sync.
-// A key whose copies differ is completed first, in two rounds of its own.
+// A key whose copies differ, or are of an older core, is completed first, in two
+// rounds of its own.
 func (keeper *Keeper) ReadMany(keys ...string) (map[string]Value, error) {
 	expiry := keeper.World.Now() + keeper.Patience
 	for try := 0; ; try++ {
@@ -154,7 +182,7 @@
 			for _, key := range keys {
 				same := true
 				for _, cell := range cells[key] {
-					same = same && cell.Accepted == cells[key][0].Accepted
+					same = same && cell.Accepted == cells[key][0].Accepted && (cell.Accepted.Epoch == core.Epoch || cell.Value.Serial == 0)
 				}
 				if same {
 					values[key] = cells[key][0].Value
@@ -225,7 +253,7 @@
 			return Value{}, ErrNoCore
 		}
 		patience := min(keeper.Patience/4, expiry-keeper.World.Now())
-		ballot := keeper.ballot(above)
+		ballot := keeper.ballot(core, above)
 		var best Cell
 		promises := 0
 		var astray *Vote
--- a/session/session.go
+++ b/session/session.go
@@ -257,31 +257,41 @@
 	return ""
 }
 
+// Colleagues are addresses at which control daemons may be: members, seeds, and
+// wherever an acceptor of the core was last known.
+func (table *Table) Colleagues() []string {
+	addresses, _ := table.colleagues()
+	return addresses
+}
+
 // Run shares the sessions with the colleagues until the world ends.
 func (table *Table) Run() {
 	loop.Every(table.World, func() time.Duration { return table.Span() / 6 }, func() bool {
 		shared := table.give()
-		addresses := table.colleagues()
-		loop.Gather(table.World, len(addresses), table.Span()/4, func(index int) *Shared {
+		// Nobody waits for addresses that lead to no member while the members answer.
+		addresses, members := table.colleagues()
+		left := members
+		loop.Gather(table.World, len(addresses), table.Span()/4, func(index int) bool {
 			back := new(Shared)
-			if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
-				return nil
-			}
-			return back
-		}, func(_ int, back *Shared) bool {
-			if back != nil {
+			if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) == nil {
 				table.take(*back)
 			}
-			return false
+			return index < members
+		}, func(_ int, isMember bool) bool {
+			if isMember {
+				left--
+			}
+			return members > 0 && left == 0
 		})
 		table.sweep()
 		return true
 	})
 }
 
-// colleagues are the control daemons to tell: the live ones and the seeds.
-func (table *Table) colleagues() []string {
-	var addresses []string
+// colleagues are the control daemons to tell: the live ones, of which it gives the
+// count, and then the seeds and wherever an acceptor of the core may be. The core is
+// read off the disk, so daemons that all start at once find each other by it.
+func (table *Table) colleagues() (addresses []string, members int) {
 	seen := map[string]bool{table.Self.Wire: true}
 	add := func(address string) {
 		if !seen[address] {
@@ -292,15 +302,18 @@
 	for _, one := range table.Live(Control) {
 		add(one.Member.Wire)
 	}
+	members = len(addresses)
 	for _, seed := range table.Seeds() {
 		add(seed)
 	}
 	for _, member := range table.Keeper.Core().Members {
 		if address := table.Locate(member.ID); address != "" {
 			add(address)
+		} else {
+			add(member.Address)
 		}
 	}
-	return addresses
+	return addresses, members
 }
 
 func (table *Table) sweep() {
--- a/settings/process.go
+++ b/settings/process.go
@@ -51,6 +51,9 @@
 	Log    string
 	Grace  int // seconds that a planned stop may take
 	Traces string
+	// First is true only when the whole system starts for the first time, on empty
+	// disks: then the seeds are made the first core. It counts at a process's start.
+	First bool
 }
 
 var (
@@ -71,6 +74,7 @@
 	set.String("data", "", "data folder (control daemons with a disk only)")
 	set.String("log", "", "debug, info, warn or error (default info)")
 	set.Int("grace", 0, "seconds that a planned stop may take (default 10)")
+	set.Bool("first", false, "the whole system starts for the first time, on empty disks: make the seeds the first core")
 	set.String("traces", "", "file that OpenTelemetry JSON traces go to (off when empty)")
 	return path
 }
@@ -94,6 +98,8 @@
 			process.Seeds = strings.Split(value, ",")
 		case "grace":
 			_, _ = fmt.Sscan(value, &process.Grace)
+		case "first":
+			process.First = value == "true"
 		default:
 			if place := process.place(given.Name); place != nil {
 				*place = value
@@ -141,6 +147,10 @@
 			process.Grace = int(value.Int())
 		case key.Str == "grace":
 			problems.add(path, "must be a number")
+		case key.Str == "first" && value.IsBool():
+			process.First = value.Bool()
+		case key.Str == "first":
+			problems.add(path, "must be true or false")
 		case key.Str == "seeds" && value.IsArray():
 			for _, seed := range value.Array() {
 				process.Seeds = append(process.Seeds, seed.String())
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -19,6 +19,7 @@
 var Limits = map[string]Bound{
 	"permit_ms":          {2000, 300, 2800, "how long a data daemon may serve after it last asked a core majority"},
 	"session_ms":         {1500, 300, 3000, "how long a daemon stays a member unheard"},
+	"replace_ms":         {1500, 200, 600000, "how long an acceptor of the core may be unheard before one that waits takes its place"},
 	"queue_ms":           {1500, 10, 60000, "how long a request may wait for a replica"},
 	"queue_length":       {128, 1, 100000, "how many requests may wait in one data daemon"},
 	"request_ms":         {120000, 100, 3600000, "how long one dispatch may take"},
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -36,6 +36,9 @@
 // Lose empties the disk, as a replaced one.
 func (disk *Disk) Lose() { disk.files = map[string]*file{} }
 
+// Take moves another machine's disk to this one; both must be down.
+func (disk *Disk) Take(other *Disk) { disk.files, other.files = other.files, map[string]*file{} }
+
 // Spoil changes a byte of what lasts in a file.
 func (disk *Disk) Spoil(name string, at int) bool {
 	one := disk.files[name]
