--- a/register/read.go
+++ b/register/read.go
@@ -313,6 +313,9 @@
 			keeper.World.Go(func() {
 				asked, seen := keeper.World.Now(), new(Seen)
 				err := keeper.Net.Call(keeper.address(member), "Register.Query", look, seen, left)
+				if err == nil && stranger(seen, member) {
+					err = errStranger
+				}
 				keeper.paced(member.ID, keeper.World.Now()-asked, err == nil)
 				box.Put(letter{member.ID, seen, err})
 			})
@@ -337,8 +340,10 @@
 		out := map[string]bool{}
 		for index, key := range keys {
 			isDecided := false
-			for _, count := range votes[index] {
-				isDecided = isDecided || count >= core.Majority()
+			for ballot, count := range votes[index] {
+				// What was accepted in a former core alone is completed in this one first.
+				isOf := ballot.Epoch == core.Epoch || cells[index][ballot].Value.Serial == 0
+				isDecided = isDecided || count >= core.Majority() && isOf
 			}
 			if !isDecided {
 				out[key] = true
