After a full loss, serve by the last standings as cold; retake own duties at once

Cause: after all processes were killed nothing was served for 2.3 s more than needed: a standing was handed out only once a new holder of its duty, which waited a session bound, had probed anew. Ruled out: permits (0.75 s), the disks. Now daemons that may serve alone get the last standing and pace its replicas as cold; a holder that began anew takes its own duty at once.

--- a/decide/route.go
+++ b/decide/route.go
@@ -45,7 +45,7 @@
 	case decider.stopped:
 		return decider.decline(503, "stopping", "this daemon is about to stop", comeBackSoon)
 	case !view.Serves(now):
-		return decider.decline(503, "no_permit", "this daemon has no permit to serve; try another", comeBackSoon)
+		return decider.decline(503, "no_permit", "this daemon has no permit to serve; try another", comeBackBegun)
 	}
 	route := view.Tree.Route(routed.Host, routed.Path)
 	if route == nil {
@@ -157,6 +157,8 @@
 	patienceShare = 6
 	mostPatience  = 200 * time.Millisecond
 	comeBackLater = 500 * time.Millisecond
+	// comeBackBegun is how long a daemon that began anew takes to get a permit.
+	comeBackBegun = time.Second
 )
 
 func (decider *Decider) leave(mine *waiter) {
@@ -250,7 +252,7 @@
 // Invariant: over every second, all data daemons together send a cold replica at most
 // ColdRate and one each, as each goes by an even part.
 func (decider *Decider) paced(view *permit.View, known *settings.Engine, place *standing.Place, seat *engine, now time.Duration) time.Duration {
-	if known == nil || known.ColdRate <= 0 || place.Warm >= 1 {
+	if known == nil || known.ColdRate <= 0 || place.Warm >= 1 && !view.Unkept[place.Region] {
 		return 0
 	}
 	daemons := 0
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -181,6 +181,10 @@
 	if stopped || duty.Holder == keeper.Name && duty.Incarnation == keeper.Incarnation {
 		return false
 	}
+	// The holder was this daemon, before it began anew: nobody else needs to be known.
+	if duty.Holder == keeper.Name {
+		return true
+	}
 	// A daemon that has just started does not know the members yet and could
 	// neither judge who is gone nor do the duty well.
 	if keeper.Watched() < keeper.Span() {
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -39,6 +39,9 @@
 	// Kept is, by region, the latest time at which the standing is known to have
 	// been up to date.
 	Kept map[string]time.Duration
+	// Unkept are regions whose standing nobody has kept up to date since this daemon has
+	// it: its replicas may have begun anew, and count as cold.
+	Unkept map[string]bool
 	// Members have their uptimes as of told; they came, with their sum, at listed.
 	Members []session.Member
 	Expiry  time.Duration
@@ -97,7 +100,10 @@
 // sixth while asks bring none, so that two in a row may go unheard.
 func (holder *Holder) Run() {
 	holder.waker.Run(holder.World, func() time.Duration {
-		if holder.isLate.Load() {
+		switch {
+		case holder.View().Tree == nil:
+			return holder.span() / 18 // nothing is served until the first one
+		case holder.isLate.Load():
 			return holder.span() / 6
 		}
 		return holder.span() / Renewals
@@ -174,6 +180,17 @@
 			next.Standings[one.Region] = one
 		}
 	}
+	next.Unkept = map[string]bool{}
+	for _, one := range grant.Unkept {
+		if have, known := next.Standings[one.Region]; !known || one.Serial > have.Serial {
+			next.Standings[one.Region] = one
+		}
+	}
+	for region := range next.Standings {
+		if _, isKept := grant.Kept[region]; !isKept && (have.Unkept[region] || have.Standings[region].Serial == 0) {
+			next.Unkept[region] = true
+		}
+	}
 	next.Kept = map[string]time.Duration{}
 	for region, at := range have.Kept {
 		next.Kept[region] = at
--- a/permit/office.go
+++ b/permit/office.go
@@ -94,6 +94,8 @@
 	// Kept are the regions whose standing, as the asker has it now, is kept up to
 	// date, and how long ago that was found: only these are handed out.
 	Kept map[string]time.Duration
+	// Unkept are the last standings of regions where nobody keeps them up to date now.
+	Unkept []standing.Standing
 	// Members are left out if the asker has them already, as their sum tells. What
 	// control daemons tell only each other is not in them.
 	Members []session.Member
@@ -252,6 +254,10 @@
 			}
 			age, isKept := office.Kept(region, one)
 			if !isKept {
+				// Daemons that may serve alone would rather go by this than by none.
+				if fresh.Limit("alone_ms", "") > 0 && value.Serial > ask.Standings[region] {
+					grant.Unkept = append(grant.Unkept, one)
+				}
 				continue
 			}
 			grant.Kept[region] = age
