--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -93,8 +93,11 @@
 }
 
 // marked is the mark of a document, by what the operator sent: that which it was made
-// from, if it says so.
+// from, if it says so. One without a label has none.
 func marked(tree *settings.Tree) permit.Mark {
+	if tree.Label() == 0 {
+		return ""
+	}
 	sent := tree.Document
 	if origin := gjson.GetBytes(sent, "origin"); origin.Exists() {
 		sent = []byte(origin.Raw)
@@ -102,7 +105,7 @@
 	var compact bytes.Buffer
 	_ = json.Compact(&compact, sent) // the tree was parsed from it
 	sum := sha256.Sum256(compact.Bytes())
-	return permit.Mark{Label: tree.Label(), Digest: hex.EncodeToString(sum[:12])}
+	return permit.Mark(fmt.Sprintf("%d/%s", tree.Label(), base64.RawStdEncoding.EncodeToString(sum[:9])))
 }
 
 // Replace makes a document with a label the configuration, if the current one's label is
@@ -122,8 +125,8 @@
 			return config, permit.ErrSame
 		case expect != have:
 			return config, &Outdated{Have: have, Want: expect}
-		case mark.Label <= have:
-			return config, settings.Problems{{Path: "$.label", Reason: fmt.Sprintf("%d is not above the current %d", mark.Label, have)}}
+		case tree.Label() <= have:
+			return config, settings.Problems{{Path: "$.label", Reason: fmt.Sprintf("%d is not above the current %d", tree.Label(), have)}}
 		}
 		return config.Take(document, mark), nil
 	})
--- a/fleet/replace_test.go
+++ b/fleet/replace_test.go
@@ -122,7 +122,7 @@
 		}
 	}
 	last := uint64(5 + permit.Remembered)
-	if _, config := newest(t, park, "c2"); len(config.Taken) != permit.Remembered || config.Taken[0].Label != 6 {
+	if _, config := newest(t, park, "c2"); len(config.Taken) != permit.Remembered || !strings.HasPrefix(string(config.Taken[0]), "6/") {
 		t.Errorf("remembered: %v", config.Taken)
 	}
 	if _, err := replace(park, "c2", labelled(park, 6, "a"), 5); err != nil {
--- a/permit/office.go
+++ b/permit/office.go
@@ -38,20 +38,19 @@
 	Taken []Mark `json:"taken,omitempty"`
 }
 
-// Mark is a document that was taken: the operator's label and a digest of what was
-// sent. It tells a repeated order from a new one.
-type Mark struct {
-	Label  uint64 `json:"label"`
-	Digest string `json:"digest"`
-}
+// Mark is a document that was taken: the operator's label, a slash and a digest of what
+// was sent. It tells a repeated order from a new one, and is short, as every permit's
+// granting reads the configuration.
+type Mark string
 
 // Remembered is how many marks a configuration keeps.
 const Remembered = 64
 
-// Take gives the configuration with another document. Evacuations stay.
+// Take gives the configuration with another document, which is remembered by its mark if
+// it has one. Evacuations stay.
 func (config Config) Take(document []byte, mark Mark) Config {
 	config.Document = document
-	if mark.Label > 0 {
+	if mark != "" {
 		config.Taken = append(slices.Clone(config.Taken), mark)
 		config.Taken = config.Taken[max(0, len(config.Taken)-Remembered):]
 	}
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -164,12 +164,82 @@
 	kindNames = map[gjson.Type]string{gjson.String: "string", gjson.Number: "number", gjson.True: "boolean", gjson.JSON: "list"}
 )
 
-// fields checks an object's keys and gives those that hold what they may.
-func fields(object gjson.Result, path string, shapes map[string]shape, problems *Problems) map[string]gjson.Result {
-	good, told := map[string]gjson.Result{}, map[string]bool{}
-	each(object, path, problems, func(key string, value gjson.Result, path string) {
-		shape, known := shapes[key]
-		told[key] = true
+// spot is a place in a document; its path is only made where there is a problem, as
+// documents may have thousands of routes.
+type spot struct {
+	above *spot
+	key   string
+	index int // within the list of that key; -1 for the key itself
+}
+
+func (spot *spot) String() string {
+	if spot == nil {
+		return "$"
+	}
+	if spot.index < 0 {
+		return spot.above.String() + "." + spot.key
+	}
+	return fmt.Sprintf("%s.%s.%d", spot.above, spot.key, spot.index)
+}
+
+func (spot *spot) tell(problems *Problems, key, reason string, values ...any) {
+	path := spot.String()
+	if key != "" {
+		path += "." + key
+	}
+	problems.add(path, reason, values...)
+}
+
+// fields are an object's members that hold what they may.
+type fields []field
+
+type field struct {
+	key   string
+	value gjson.Result
+	isBad bool
+}
+
+// get gives a member, and false when it is not there or does not hold what it may.
+func (fields fields) get(key string) (gjson.Result, bool) {
+	for index := range fields {
+		if one := &fields[index]; one.key == key && !one.isBad {
+			return one.value, true
+		}
+	}
+	return gjson.Result{}, false
+}
+
+func (fields fields) text(key string) string { value, _ := fields.get(key); return value.Str }
+func (fields fields) number(key string) float64 {
+	value, _ := fields.get(key)
+	return value.Num
+}
+func (fields fields) span(key string) time.Duration {
+	return time.Duration(fields.number(key) * float64(time.Millisecond))
+}
+
+func (fields fields) has(key string) bool {
+	for index := range fields {
+		if fields[index].key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// members checks an object's keys.
+func members(object gjson.Result, at *spot, shapes map[string]shape, problems *Problems) fields {
+	if !object.IsObject() {
+		at.tell(problems, "", "must be an object")
+		return nil
+	}
+	got := make(fields, 0, len(shapes))
+	object.ForEach(func(key, value gjson.Result) bool {
+		if got.has(key.Str) {
+			at.tell(problems, key.Str, "stands twice")
+			return true
+		}
+		shape, known := shapes[key.Str]
 		fits := value.Type == shape.kind
 		switch shape.kind {
 		case gjson.True:
@@ -177,32 +247,28 @@
 		case gjson.JSON:
 			fits = value.IsArray()
 		}
+		one := field{key: key.Str, value: value, isBad: true}
 		switch {
 		case !known:
-			problems.add(path, "is unknown")
+			at.tell(problems, key.Str, "is unknown")
 		case !fits:
-			problems.add(path, "must be a %s", kindNames[shape.kind])
+			at.tell(problems, key.Str, "must be a %s", kindNames[shape.kind])
 		case shape.kind == gjson.Number && (value.Num < shape.least || value.Num > shape.most):
-			problems.add(path, "%v is not within %v to %v", value.Num, shape.least, shape.most)
+			at.tell(problems, key.Str, "%v is not within %v to %v", value.Num, shape.least, shape.most)
 		case shape.isWhole && value.Num != math.Trunc(value.Num):
-			problems.add(path, "%v is no whole number", value.Num)
+			at.tell(problems, key.Str, "%v is no whole number", value.Num)
 		default:
-			good[key] = value
+			one.isBad = false
 		}
+		got = append(got, one)
+		return true
 	})
-	if !object.IsObject() {
-		return good
-	}
-	for _, key := range slices.Sorted(maps.Keys(shapes)) {
-		if shapes[key].isNeeded && !told[key] {
-			problems.add(path+"."+key, "is needed")
+	for key, shape := range shapes {
+		if shape.isNeeded && !got.has(key) {
+			at.tell(problems, key, "is needed")
 		}
 	}
-	return good
-}
-
-func span(value gjson.Result) time.Duration {
-	return time.Duration(value.Num * float64(time.Millisecond))
+	return got
 }
 
 // sections reads what stands beside the levels; false when the key is none of them.
@@ -223,12 +289,12 @@
 		var routes []*Route
 		taken := map[[2]string]int{}
 		for index, one := range value.Array() {
-			path := path + "." + strconv.Itoa(index)
-			route := readRoute(one, path, problems)
+			at := &spot{nil, "routes", index}
+			route := readRoute(one, at, problems)
 			routes = append(routes, route)
 			place := [2]string{hostOf(route.Host), route.Prefix}
 			if first, isTaken := taken[place]; isTaken && route.Host != "" && route.Prefix != "" {
-				problems.add(path, "has the host and prefix of routes.%d", first)
+				at.tell(problems, "", "has the host and prefix of routes.%d", first)
 			} else {
 				taken[place] = index
 			}
@@ -239,16 +305,17 @@
 		tree.engines = map[string]*Engine{}
 		each(value, path, problems, func(model string, one gjson.Result, path string) {
 			shaped(model, path, problems)
-			get := fields(one, path, engineShapes, problems)
-			if probe, known := get["probe_path"]; known && !strings.HasPrefix(probe.Str, "/") {
-				problems.add(path+".probe_path", "must begin with a slash")
+			at := &spot{&spot{nil, "engines", -1}, model, -1}
+			got := members(one, at, engineShapes, problems)
+			if probe, known := got.get("probe_path"); known && !strings.HasPrefix(probe.Str, "/") {
+				at.tell(problems, "probe_path", "must begin with a slash")
 			}
-			tree.engines[model] = &Engine{ProbePath: get["probe_path"].Str, ConnCap: int(get["conn_cap"].Num), Cold: span(get["cold_ms"]), ColdRate: get["cold_per_s"].Num,
-				Berths: int(get["berths"].Num), CacheTokens: int(get["cache_tokens"].Num), Spacing: int(get["spacing"].Num)}
+			tree.engines[model] = &Engine{ProbePath: got.text("probe_path"), ConnCap: int(got.number("conn_cap")), Cold: got.span("cold_ms"), ColdRate: got.number("cold_per_s"),
+				Berths: int(got.number("berths")), CacheTokens: int(got.number("cache_tokens")), Spacing: int(got.number("spacing"))}
 		})
 	case "intake":
-		get := fields(value, path, intakeShapes, problems)
-		tree.intake = Intake{HeaderBytes: int(get["header_bytes"].Num), BodyBytes: int(get["body_bytes"].Num), Header: span(get["header_ms"]), Idle: span(get["idle_ms"])}
+		got := members(value, &spot{nil, "intake", -1}, intakeShapes, problems)
+		tree.intake = Intake{HeaderBytes: int(got.number("header_bytes")), BodyBytes: int(got.number("body_bytes")), Header: got.span("header_ms"), Idle: got.span("idle_ms")}
 	default:
 		return false
 	}
@@ -257,36 +324,38 @@
 
 // readRoute reads one route and checks what can be told without the rest of the
 // tree.
-func readRoute(value gjson.Result, path string, problems *Problems) *Route {
-	get := fields(value, path, routeShapes, problems)
-	route := &Route{Name: get["name"].Str, Host: get["host"].Str, Prefix: get["prefix"].Str, Kind: get["kind"].Str, Timeout: span(get["timeout_ms"]), Target: span(get["target_ms"]), Gap: span(get["gap_ms"]),
-		Urgency: int(get["urgency"].Num), Tries: max(1, int(get["tries"].Num)), Resume: get["resume"].Bool()}
+func readRoute(value gjson.Result, at *spot, problems *Problems) *Route {
+	got := members(value, at, routeShapes, problems)
+	resume, _ := got.get("resume")
+	route := &Route{Name: got.text("name"), Host: got.text("host"), Prefix: got.text("prefix"), Kind: got.text("kind"), Timeout: got.span("timeout_ms"), Target: got.span("target_ms"), Gap: got.span("gap_ms"),
+		Urgency: int(got.number("urgency")), Tries: max(1, int(got.number("tries"))), Resume: resume.Bool()}
 	for _, key := range []string{"name", "host"} {
-		if one, known := get[key]; known && one.Str == "" {
-			problems.add(path+"."+key, "is empty")
+		if one, known := got.get(key); known && one.Str == "" {
+			at.tell(problems, key, "is empty")
 		}
 	}
-	if prefix, known := get["prefix"]; known && (!strings.HasPrefix(prefix.Str, "/") || !strings.HasSuffix(prefix.Str, "/")) {
-		problems.add(path+".prefix", "%q must begin and end with a slash", prefix.Str)
+	if prefix, known := got.get("prefix"); known && (!strings.HasPrefix(prefix.Str, "/") || !strings.HasSuffix(prefix.Str, "/")) {
+		at.tell(problems, "prefix", "%q must begin and end with a slash", prefix.Str)
 	}
-	if kind, known := get["kind"]; known && kind.Str != Safe && kind.Str != Unsafe && kind.Str != Streamed {
-		problems.add(path+".kind", "%q is none of %s, %s, %s", kind.Str, Safe, Unsafe, Streamed)
+	if kind, known := got.get("kind"); known && kind.Str != Safe && kind.Str != Unsafe && kind.Str != Streamed {
+		at.tell(problems, "kind", "%q is none of %s, %s, %s", kind.Str, Safe, Unsafe, Streamed)
 	}
-	for index, home := range get["homes"].Array() {
+	homes, _ := got.get("homes")
+	for index, home := range homes.Array() {
 		if home.Type != gjson.String {
-			problems.add(fmt.Sprintf("%s.homes.%d", path, index), "must be a string")
+			(&spot{at, "homes", index}).tell(problems, "", "must be a string")
 		}
 		route.Homes = append(route.Homes, home.String())
 	}
-	shares, known := get["shares"]
+	shares, known := got.get("shares")
 	sum := 0.0
 	for index, share := range shares.Array() {
-		get := fields(share, fmt.Sprintf("%s.shares.%d", path, index), shareShapes, problems)
-		route.Shares = append(route.Shares, Share{Model: get["model"].Str, Weight: get["weight"].Num})
-		sum += get["weight"].Num
+		got := members(share, &spot{at, "shares", index}, shareShapes, problems)
+		route.Shares = append(route.Shares, Share{Model: got.text("model"), Weight: got.number("weight")})
+		sum += got.number("weight")
 	}
 	if known && sum <= 0 {
-		problems.add(path+".shares", "its weights must add up to more than 0")
+		at.tell(problems, "shares", "its weights must add up to more than 0")
 	}
 	return route
 }
@@ -303,19 +372,19 @@
 		}
 	}
 	for index, route := range tree.listed {
-		path := fmt.Sprintf("$.routes.%d", index)
-		for at, share := range route.Shares {
-			switch path := fmt.Sprintf("%s.shares.%d.model", path, at); {
+		at := &spot{nil, "routes", index}
+		for index, share := range route.Shares {
+			switch {
 			case share.Model == "": // told where it is read
 			case !placed[share.Model]:
-				problems.add(path, "names model %q, which is placed nowhere", share.Model)
+				(&spot{at, "shares", index}).tell(problems, "model", "names model %q, which is placed nowhere", share.Model)
 			case tree.engines[share.Model] == nil:
-				problems.add(path, "names model %q, which has no engine", share.Model)
+				(&spot{at, "shares", index}).tell(problems, "model", "names model %q, which has no engine", share.Model)
 			}
 		}
-		for at, home := range route.Homes {
+		for index, home := range route.Homes {
 			if _, known := tree.regions[home]; !known {
-				problems.add(fmt.Sprintf("%s.homes.%d", path, at), "names region %q, which the tree does not have", home)
+				(&spot{at, "homes", index}).tell(problems, "", "names region %q, which the tree does not have", home)
 			}
 		}
 	}
