Rounds of reads kept apart; slots of sessions that last; tests of control traffic's growth

Cause: where a round takes hardly any time, as within a region, none were shared, and a control daemon's rounds grew with the daemons that ask it; members heard first hand and through others by turns were told anew each time; runs were turned before their registers had been read once, which began a run to the version "any".

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -64,7 +64,7 @@
 	proved time.Duration
 	routes map[string]standing.Route // as last read
 	// idle are models about which there is no run, nor ever was one, nor can be by
-	// itself, as last read.
+	// itself, as last read; nil before that.
 	idle   map[string]bool
 	runner *rollout.Runner
 	failed string
@@ -407,7 +407,7 @@
 	}
 	runner, seeded, routes, idle := region.runner, region.seeded, region.routes, region.idle
 	region.guard.Unlock()
-	if !seeded || region.unprobed(tree) {
+	if !seeded || idle == nil || region.unprobed(tree) {
 		return
 	}
 	_, whole, _ := region.Office.Current()
--- a/register/read.go
+++ b/register/read.go
@@ -20,6 +20,9 @@
 	// surveyed is how many rounds pass between two that ask all, which show whether
 	// an acceptor that was slow is still so.
 	surveyed = 32
+	// apart is how long after another a round begins at the soonest, so that their
+	// number stays bounded however many ask, also where a round takes no time.
+	apart = 25 * time.Millisecond
 )
 
 // kept are values last seen, by key, with the ballots that they were accepted under.
@@ -170,6 +173,10 @@
 // read makes rounds as long as somebody waits for one.
 func (keeper *Keeper) read() {
 	for try := 0; ; {
+		keeper.guard.Lock()
+		wait := keeper.inquired + apart - keeper.World.Now()
+		keeper.guard.Unlock()
+		loop.Sleep(keeper.World, wait)
 		keeper.guard.Lock()
 		wishes := keeper.wishes
 		keeper.wishes = nil
@@ -294,6 +301,7 @@
 	}
 	keeper.guard.Lock()
 	keeper.inquiries++
+	keeper.inquired = began
 	isSurvey := keeper.inquiries%surveyed == 0
 	keeper.guard.Unlock()
 	start(core.Majority())
--- a/session/session.go
+++ b/session/session.go
@@ -81,11 +81,12 @@
 
 type row struct {
 	Session
-	heard  time.Duration
-	direct bool
-	// slot and told are a direct row's, for the colleagues.
-	slot uint64
-	told told
+	heard time.Duration
+	// slot and told are for the colleagues, of a row that was ever heard first hand,
+	// last at firstHand; they are told of it for one span after.
+	slot      uint64
+	told      told
+	firstHand time.Duration
 }
 
 // Options of a table.
@@ -135,7 +136,7 @@
 			delete(table.rows, beat.Member.Name)
 		}
 	} else if _, gone := table.over[beat.Member.Incarnation]; !gone {
-		table.hear(row{Session: Session{Member: beat.Member, Report: beat.Report}, heard: now, direct: true})
+		table.hear(row{Session: Session{Member: beat.Member, Report: beat.Report}, heard: now}, true)
 	}
 	table.guard.Unlock()
 	for _, one := range table.Live(Control) {
--- a/session/share.go
+++ b/session/share.go
@@ -78,7 +78,7 @@
 }
 
 // slowly is how many sessions apart counts alone are told again.
-const slowly = 4
+const slowly = 20
 
 // Sum is a sum over who the members are, and not over how long they have been up,
 // what they hold and what they keep.
@@ -129,15 +129,21 @@
 	return next
 }
 
-// hear takes a row into the table; who holds the guard calls it.
-func (table *Table) hear(one row) {
-	if one.direct {
-		have := table.rows[one.Member.Name]
-		if one.slot = have.slot; one.slot == 0 || have.Member.Incarnation != one.Member.Incarnation {
+// hear takes a row into the table; who holds the guard calls it. A member that is heard
+// first hand and through others by turns keeps its slot.
+func (table *Table) hear(one row, isFirstHand bool) {
+	if have := table.rows[one.Member.Name]; have.Member.Incarnation == one.Member.Incarnation {
+		one.slot, one.told, one.firstHand = have.slot, have.told, have.firstHand
+	}
+	if isFirstHand {
+		one.firstHand = max(one.firstHand, one.heard)
+		if one.slot == 0 {
 			table.slots++
-			one.slot, have.told = table.slots, told{}
+			one.slot = table.slots
 		}
-		one.told = table.next(have.told, one.Session, one.heard)
+	}
+	if one.slot > 0 {
+		one.told = table.next(one.told, one.Session, table.World.Now())
 	}
 	table.rows[one.Member.Name] = one
 }
@@ -221,7 +227,7 @@
 		}
 		// A colleague's own word is heard first hand and passed on like a beat:
 		// control daemons that are nobody's seed learn of each other by it.
-		table.hear(row{Session: one, heard: heard, direct: one.Member.Incarnation == from})
+		table.hear(row{Session: one, heard: heard}, one.Member.Incarnation == from)
 	}
 }
 
@@ -263,7 +269,7 @@
 		out.Sessions = append(out.Sessions, Content{slot, mark.Serial, session})
 	}
 	for _, one := range table.rows {
-		if one.direct && now-one.heard < table.Span() {
+		if one.slot > 0 && now-one.firstHand < table.Span() && now-one.heard < table.Span() {
 			tell(one.slot, one.told, one.Session, now-one.heard)
 		}
 	}
--- /dev/null
+++ b/session/share_test.go
@@ -0,0 +1,160 @@
+package session_test
+
+import (
+	"fmt"
+	"net/rpc"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"swifttiller/register"
+	"swifttiller/session"
+	"swifttiller/sim"
+	"swifttiller/standing"
+)
+
+type beating struct{ service }
+
+func (beating beating) Beat(beat session.Beat, answer *session.Answer) error {
+	return beating.Table.Beat(beat, answer)
+}
+
+// circle is a few control daemons that share sessions, each in its own region.
+type circle struct {
+	*sim.Sim
+	tables map[string]*session.Table
+	lives  int
+}
+
+func (circle *circle) start(name string) {
+	circle.lives++
+	life := fmt.Sprint(name, circle.lives)
+	circle.Start(name, func(node *sim.Node) {
+		table := session.NewTable(session.Options{
+			World: node, Net: sim.Net{Node: node}, Seeds: func() []string { return []string{"x", "y", "z"} }, Keeper: &register.Keeper{}, Span: func() time.Duration { return time.Second },
+			Self: session.Member{Name: name, Incarnation: life, Role: session.Control, Region: name, Wire: name},
+		})
+		circle.tables[name] = table
+		server := rpc.NewServer()
+		if err := server.RegisterName("Session", beating{service{table}}); err != nil {
+			panic(err)
+		}
+		node.Serve(server)
+		table.Run()
+	})
+}
+
+// beats lets a data daemon at the control daemon say its report, which it asks for
+// each time.
+func (circle *circle) beats(name, at string, report func() standing.Report) {
+	circle.Start(name, func(node *sim.Node) {
+		client := &session.Client{
+			World: node, Net: sim.Net{Node: node}, Seeds: func() []string { return []string{at} }, Span: func() time.Duration { return time.Second }, Region: at,
+			Describe: func() session.Beat {
+				return session.Beat{Member: session.Member{Name: name, Incarnation: name, Role: session.Data, Region: at, Wire: name, Uptime: node.Now()}, Report: report()}
+			},
+		}
+		client.Run()
+	})
+}
+
+func newCircle(seed uint64) *circle {
+	circle := &circle{Sim: sim.New(seed), tables: map[string]*session.Table{}}
+	for _, name := range []string{"x", "y", "z"} {
+		circle.start(name)
+	}
+	return circle
+}
+
+func TestSharesTellWhatChanged(t *testing.T) {
+	Convey("a session that stays the same costs a mark, and is as fresh as if it were told whole", t, func() {
+		circle := newCircle(1)
+		defer circle.Close()
+		demand := 1.0
+		for index := 0; index < 20; index++ {
+			circle.beats(fmt.Sprint("d", index), "x", func() standing.Report {
+				return standing.Report{Config: 3, Permit: 700 * time.Millisecond, Demand: map[string]float64{"some long name of a model": demand}}
+			})
+		}
+		circle.Run(3 * time.Second)
+		before := circle.Bytes["Session.Share"]
+		circle.Run(10 * time.Second)
+		So((circle.Bytes["Session.Share"]-before)/10, ShouldBeLessThan, 20*2*6*20) // 20 bytes a mark
+		one, isLive := circle.tables["y"].Find("d7")
+		So(isLive, ShouldBeTrue)
+		So(one.Age, ShouldBeLessThan, 500*time.Millisecond)
+		So(one.Report.Permit, ShouldEqual, 700*time.Millisecond)
+		So(one.Member.Uptime+one.Age, ShouldAlmostEqual, circle.Now(), 20*time.Millisecond)
+		Convey("and what changed is there a beat and a share later", func() {
+			demand = 2
+			circle.Run(500 * time.Millisecond)
+			one, _ := circle.tables["z"].Find("d7")
+			So(one.Report.Demand["some long name of a model"], ShouldEqual, 2.0)
+		})
+		Convey("and a colleague that began anew has all at its first share", func() {
+			circle.Kill("y")
+			circle.start("y")
+			circle.Run(300 * time.Millisecond)
+			So(len(circle.tables["y"].Live(session.Data)), ShouldEqual, 20)
+		})
+		Convey("and it ends when the daemon is dead, for all", func() {
+			circle.Kill("d7")
+			circle.Run(1600 * time.Millisecond)
+			for _, name := range []string{"x", "y", "z"} {
+				_, isLive := circle.tables[name].Find("d7")
+				So(isLive, ShouldBeFalse)
+			}
+		})
+	})
+	Convey("with calls that come late, twice or not at all, what is said last is known to all in the end", t, func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			circle := newCircle(seed)
+			circle.Unruly = sim.Unruly{Lost: 0.15, Repeated: 0.15, Late: 0.15, Latest: 900 * time.Millisecond}
+			said := 0.0
+			circle.beats("d", "x", func() standing.Report { said++; return standing.Report{Demand: map[string]float64{"m": said}} })
+			circle.Run(5 * time.Second)
+			if seed%2 == 0 {
+				circle.Kill("z")
+				circle.start("z")
+			}
+			circle.Run(5 * time.Second)
+			last := said
+			circle.Unruly = sim.Unruly{}
+			circle.Run(1500 * time.Millisecond)
+			for _, name := range []string{"x", "y", "z"} {
+				one, isLive := circle.tables[name].Find("d")
+				So(isLive, ShouldBeTrue)
+				So(one.Report.Demand["m"], ShouldBeGreaterThan, last)
+			}
+			circle.Close()
+		}
+	})
+}
+
+func TestClientsStayInTheirRegion(t *testing.T) {
+	Convey("a daemon beats at its own region's control daemon, at another while that is out, and comes back", t, func() {
+		circle := newCircle(1)
+		defer circle.Close()
+		var client *session.Client
+		circle.Start("d", func(node *sim.Node) {
+			client = &session.Client{
+				World: node, Net: sim.Net{Node: node}, Seeds: func() []string { return []string{"x", "y", "z"} }, Span: func() time.Duration { return time.Second }, Region: "z",
+				Describe: func() session.Beat {
+					return session.Beat{Member: session.Member{Name: "d", Incarnation: "d", Role: session.Data, Region: "z", Wire: "d"}}
+				},
+			}
+			client.Run()
+		})
+		circle.Run(2 * time.Second)
+		So(client.Controls()[0], ShouldEqual, "z")
+		circle.Kill("z")
+		circle.Run(time.Second)
+		So(client.Controls()[0], ShouldNotEqual, "z")
+		circle.start("z")
+		circle.Run(8 * time.Second)
+		So(client.Controls()[0], ShouldEqual, "z")
+		_, isLive := circle.tables["x"].Find("d")
+		So(isLive, ShouldBeTrue)
+	})
+}
