--- a/register/keeper.go
+++ b/register/keeper.go
@@ -42,7 +42,6 @@
 	wishes    []*wish
 	isReading bool
 	inquiries uint64
-	inquired  time.Duration // when the last round began
 	// paces are how soon acceptors answer reads, smoothed.
 	paces map[string]time.Duration
 	// completing are who waits for the completion of a key after the one under way; a
--- a/register/read.go
+++ b/register/read.go
@@ -20,9 +20,6 @@
 	// surveyed is how many rounds pass between two that ask all, which show whether
 	// an acceptor that was slow is still so.
 	surveyed = 32
-	// apart is how long after another a round begins at the soonest, so that their
-	// number stays bounded however many ask, also where a round takes no time.
-	apart = 25 * time.Millisecond
 )
 
 // kept are values last seen, by key, with the ballots that they were accepted under.
@@ -88,8 +85,8 @@
 }
 
 // ReadMany reads several keys; in the quiet case in one round without a sync.
-// Asks that come while a round is under way wait for the next one, which reads the
-// keys of them all. A key whose copies differ is completed first, in two rounds of
+// Asks that come within roundGap of a round's beginning wait for the next one, which
+// reads the keys of them all. A key whose copies differ is completed first, in two rounds of
 // its own. What it gives must not be changed: others may be given the same.
 func (keeper *Keeper) ReadMany(keys ...string) (map[string]Value, error) {
 	values, open, err := keeper.ReadSettled(keys...)
@@ -185,10 +182,6 @@
 // read makes rounds as long as somebody waits for one.
 func (keeper *Keeper) read() {
 	for {
-		keeper.guard.Lock()
-		wait := keeper.inquired + apart - keeper.World.Now()
-		keeper.guard.Unlock()
-		loop.Sleep(keeper.World, wait)
 		keeper.guard.Lock()
 		wishes := keeper.wishes
 		keeper.wishes = nil
@@ -330,7 +323,6 @@
 	}
 	keeper.guard.Lock()
 	keeper.inquiries++
-	keeper.inquired = began
 	isSurvey := keeper.inquiries%surveyed == 0
 	keeper.guard.Unlock()
 	start(core.Majority())
--- a/sim/net.go
+++ b/sim/net.go
@@ -20,6 +20,9 @@
 // Cut cuts or mends the way from one node to the other, one way only.
 func (sim *Sim) Cut(from, to string, cut bool) { sim.link(from, to).Cut = cut }
 
+// Delay adds to the way from one node to the other, one way only.
+func (sim *Sim) Delay(from, to string, delay time.Duration) { sim.link(from, to).Delay = delay }
+
 func (sim *Sim) link(from, to string) *Link {
 	key := [2]string{from, to}
 	if sim.links[key] == nil {
