--- a/register/read.go
+++ b/register/read.go
@@ -85,8 +85,8 @@
 }
 
 // ReadMany reads several keys; in the quiet case in one round without a sync.
-// Asks that come while a round is under way wait for the next one, which reads the
-// keys of them all. A key whose copies differ is completed first, in two rounds of
+// Asks that come within roundGap of a round's beginning wait for the next one, which
+// reads the keys of them all. A key whose copies differ is completed first, in two rounds of
 // its own. What it gives must not be changed: others may be given the same.
 func (keeper *Keeper) ReadMany(keys ...string) (map[string]Value, error) {
 	values, open, err := keeper.ReadSettled(keys...)
