Answers have a source; a stand-in engine and routed callers in virtual time

Cause: routed requests had been run over sockets only. replica.Answer was tied to a connection; it now has a Source, and the real one reads as before. Ruled out: an interface for the whole answer, as its head is plain data.

--- a/fleet/faults.go
+++ b/fleet/faults.go
@@ -182,6 +182,8 @@
 		switch {
 		case park.Replicas[name] != nil:
 			park.StartReplica(park.Replicas[name].ReplicaOptions)
+		case park.Engines[name] != nil:
+			park.StartEngine(park.Engines[name].EngineOptions)
 		case park.Controls[name] != nil:
 			park.StartControl(name)
 		default:
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -30,6 +30,10 @@
 	Controls, Diskless, Datas []string
 	Replicas                  []ReplicaOptions
 	Callers                   []Crowd
+	// Engines are replicas with an engine, Routed the callers whose requests go to them
+	// by routes.
+	Engines []EngineOptions
+	Routed  []RoutedCrowd
 	// Lag and Least are the platform's; Grace its grace when stopping a replica.
 	Lag, Least, Grace time.Duration
 }
@@ -93,6 +97,21 @@
 	varied int
 	lanes  map[laneKey]kept
 	closed map[string]bool // daemons whose listeners are closed in a planned stop
+
+	Engines map[string]*Engine
+	Listed  *Register
+	// Runs are all requests that arrived at engines, RoutedRequests all of callers.
+	Runs           []*Run
+	RoutedRequests []*RoutedRequest
+	// Dialled counts connections to engines, Repeated answers that came once more,
+	// Fallen cold engines that were sent too much, Strayed orders that engines got.
+	Dialled, Repeated, Fallen, Strayed int
+
+	pastEngines []*Engine
+	hops        map[string][]*hop  // by engine and by data daemon
+	links       map[string][]*link // by data daemon
+	askedOf     map[string]asked
+	tried       map[string]*RoutedTry
 }
 
 // Region of a zone in the plans: what stands before the dash.
@@ -121,6 +140,9 @@
 	for index := range plan.Callers {
 		park.crowd(&plan.Callers[index])
 	}
+	for index := range plan.Routed {
+		park.crowdRouted(&plan.Routed[index])
+	}
 	return park
 }
 
@@ -128,6 +150,8 @@
 // configuration and no callers.
 func NewBarePark(seed uint64, plan Plan) *Park {
 	park := &Park{Sim: sim.New(seed), Plan: plan, Controls: map[string]*controlplane.Daemon{}, Datas: map[string]*dataplane.Daemon{}, Replicas: map[string]*Replica{}, Troubles: map[string]error{}, Seen: newSeen(), byID: map[string]*Request{}, lanes: map[laneKey]kept{}, Spoilt: map[string]bool{}, closed: map[string]bool{}, zones: map[string]string{}, streams: map[string][]*simStream{}}
+	park.Engines, park.hops, park.links, park.askedOf, park.tried = map[string]*Engine{}, map[string][]*hop{}, map[string][]*link{}, map[string]asked{}, map[string]*RoutedTry{}
+	park.Listed = &Register{park: park, asked: map[string]time.Duration{}}
 	park.Platform = NewPlatform(park.Now, plan.Lag, plan.Least)
 	park.watch()
 	for _, word := range append(append([]string{}, plan.Controls...), plan.Diskless...) {
@@ -140,6 +164,9 @@
 		park.StartReplica(options)
 		park.Platform.Add(Region(options.Zone), options.ID, options.ID, options.Zone)
 	}
+	for _, options := range plan.Engines {
+		park.StartEngine(options)
+	}
 	for _, word := range plan.Datas {
 		name, zone := split(word)
 		park.zones[name] = zone
@@ -180,7 +207,11 @@
 	if seeds == nil {
 		seeds = park.seeds()
 	}
-	return settings.Process{Name: name, Zone: zone, Region: Region(zone), Wire: name, HTTP: name, Seeds: seeds}
+	process := settings.Process{Name: name, Zone: zone, Region: Region(zone), Wire: name, HTTP: name, Seeds: seeds}
+	if len(park.Plan.Engines) > 0 {
+		process.Door = name
+	}
+	return process
 }
 
 // live are a daemon's settings, reread from what the park would start it with.
@@ -206,10 +237,14 @@
 				folder = nil
 			}
 		}
-		daemon, err := controlplane.New(controlplane.Options{
+		options := controlplane.Options{
 			World: node, Net: sim.Net{Node: node}, Process: park.process(name), Live: park.live(name), Folder: folder, Incarnation: life,
 			Replicas: &client{park, node, map[string][]idleLine{}}, Platform: &list{park, node}, Point: func(point string) { park.Point(node, point) },
-		})
+		}
+		if len(park.Plan.Engines) > 0 {
+			options.Dialect, options.Platform = engineDialect{client: &client{park, node, nil}}, &engineList{park, node}
+		}
+		daemon, err := controlplane.New(options)
 		park.Troubles[name] = err
 		if err != nil {
 			return
@@ -226,7 +261,7 @@
 	life := fmt.Sprint(park.lives)
 	park.born(name)
 	park.Start(name, func(node *sim.Node) {
-		daemon := dataplane.New(dataplane.Options{World: node, Net: sim.Net{Node: node}, Process: park.process(name), Live: park.live(name), Incarnation: life, Replicas: &client{park, node, map[string][]idleLine{}}})
+		daemon := dataplane.New(dataplane.Options{World: node, Net: sim.Net{Node: node}, Process: park.process(name), Live: park.live(name), Incarnation: life, Replicas: &client{park, node, map[string][]idleLine{}}, Relayer: &relayer{park, node, map[string][]*wireLine{}}})
 		park.Datas[name] = daemon
 		node.Serve(daemon.Services())
 		daemon.Run()
@@ -254,6 +289,14 @@
 		stream.broken(name)
 	}
 	delete(park.streams, name)
+	for _, hop := range append([]*hop{}, park.hops[name]...) {
+		hop.broken(name)
+	}
+	delete(park.hops, name)
+	for _, link := range park.links[name] {
+		link.box.Put(piece{err: errReset})
+	}
+	delete(park.links, name)
 }
 
 // Do runs a step on a control daemon and waits for it for at most the span.
@@ -566,7 +609,13 @@
 
 // Order gives an order to a stand-in.
 func (client *client) Order(address string, order replica.Order, patience time.Duration) error {
-	got, err := client.small(address, patience, func(stand *Replica) (int, []byte) { return stand.Order(order) })
+	got, err := client.small(address, patience, func(stand *Replica) (int, []byte) {
+		if stand == nil { // an engine, which takes none
+			client.park.Strayed++
+			return 404, nil
+		}
+		return stand.Order(order)
+	})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/fleet/routed.go
@@ -0,0 +1,417 @@
+package fleet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"swifttiller/dataplane"
+	"swifttiller/decide"
+	"swifttiller/execute"
+	"swifttiller/loop"
+	"swifttiller/replica"
+	"swifttiller/sim"
+	"swifttiller/verdict"
+)
+
+// RoutedCrowd are callers of one route in one zone. Each is a closed loop: a pause, a
+// request to its end, and so on.
+type RoutedCrowd struct {
+	Name, Zone, Host, Path string
+	Workers                int
+	// Pause is the mean time between a request's end and the next one's beginning.
+	Pause time.Duration
+	// Shared tokens begin the prompt and are the same for all of one of Groups; Own are
+	// the request's. Most are those of the answer.
+	Shared, Own, Groups, Most int
+	// Patience is how long a caller waits for the whole, Target the aim for the first
+	// event, Gap the pause between events that is still in time.
+	Patience, Target, Gap time.Duration
+	// Repeatable requests are tried again after any mishap, Resume ones behind the last
+	// event. Tries are those of a caller, one or two.
+	Repeatable, Resume bool
+	Tries              int
+	// From and Until bound it; zero means always.
+	From, Until time.Duration
+}
+
+// RoutedRequest is one request as its caller saw it.
+type RoutedRequest struct {
+	ID        string
+	Crowd     *RoutedCrowd
+	At, End   time.Duration
+	First     time.Duration // when the first event came, zero if none did
+	Pause     time.Duration // the longest between two events
+	Tries     []*RoutedTry
+	Got       int // tokens, in order
+	Verdict   string
+	Wrong     string // what was wrong with what it got; empty when nothing was
+	lastEvent time.Duration
+	lastLife  string
+}
+
+// RoutedTry is one try of it; it has its own id, and goes to one daemon.
+type RoutedTry struct {
+	ID, Daemon string
+	Sent, End  time.Duration
+	After      int
+	// Status is that of the answer, zero when none came; Code is a decline's.
+	Status   int
+	Code     string
+	ComeBack time.Duration
+	// IsRead tells whether the daemon had the request, IsWhole whether the answer ended
+	// cleanly, IsSilent whether the caller gave it up.
+	IsRead, IsWhole, IsSilent bool
+	Tokens                    int
+	request                   *RoutedRequest
+}
+
+// promised tells whether the try was told that it has not run and never will.
+func (try *RoutedTry) promised() bool {
+	switch try.Status {
+	case 408, 421, 429, 503:
+		return true
+	}
+	return false
+}
+
+// Spans of callers, as the protocol has them.
+const (
+	doorPatience  = time.Second
+	leastSilence  = 2 * time.Second
+	targetSilence = 4
+	gapSilence    = 8
+	// leaveSeen is how soon a daemon notices that its caller has gone.
+	leaveSeen = 200 * time.Millisecond
+)
+
+type asked struct {
+	parts []decide.Part
+	most  int
+}
+
+// asked is what a try asked for.
+func (park *Park) asked(id string) asked { return park.askedOf[id] }
+
+// tokenOf reads the id of an event.
+func tokenOf(id string) int {
+	token, _ := strconv.Atoi(id)
+	return token
+}
+
+// crowdRouted starts the callers of a crowd.
+func (park *Park) crowdRouted(crowd *RoutedCrowd) {
+	for worker := range crowd.Workers {
+		name := fmt.Sprintf("caller-%s-%d", crowd.Name, worker)
+		park.zones[name] = crowd.Zone
+		park.Start(name, func(node *sim.Node) {
+			caller := &routedCaller{park: park, node: node, crowd: crowd}
+			loop.Sleep(node, max(0, crowd.From-node.Now()))
+			for {
+				loop.Sleep(node, time.Duration(park.Draw(int64(2*crowd.Pause)))+time.Microsecond)
+				if crowd.Until > 0 && node.Now() > crowd.Until {
+					return
+				}
+				if park.Quiet {
+					loop.Sleep(node, 100*time.Millisecond)
+					continue
+				}
+				caller.request()
+			}
+		})
+	}
+}
+
+// routedCaller is one worker.
+type routedCaller struct {
+	park  *Park
+	node  *sim.Node
+	crowd *RoutedCrowd
+	doors []string
+	until time.Duration
+	// shunned are daemons that failed it, until when.
+	shunned map[string]time.Duration
+}
+
+// door gives a daemon to send to; empty when none is known.
+func (caller *routedCaller) door() string {
+	park, node := caller.park, caller.node
+	if node.Now() >= caller.until {
+		caller.look()
+	}
+	var good []string
+	for _, name := range caller.doors {
+		if node.Now() >= caller.shunned[name] {
+			good = append(good, name)
+		}
+	}
+	if len(good) == 0 {
+		good = caller.doors
+	}
+	if len(good) == 0 {
+		return ""
+	}
+	return good[park.Draw(int64(len(good)))]
+}
+
+// look asks up to three daemons, the near ones first, where to go.
+func (caller *routedCaller) look() {
+	park, node, zone := caller.park, caller.node, caller.crowd.Zone
+	var near, far []string
+	for _, word := range park.Plan.Datas {
+		name, at := split(word)
+		if at == zone {
+			near = append(near, name)
+		} else {
+			far = append(far, name)
+		}
+	}
+	for _, list := range [][]string{near, far} {
+		for index := len(list) - 1; index > 0; index-- {
+			other := int(park.Draw(int64(index + 1)))
+			list[index], list[other] = list[other], list[index]
+		}
+	}
+	asks := append(near, far...)
+	for _, name := range asks[:min(3, len(asks))] {
+		box := node.Mailbox()
+		if !park.Node(name).Up() || park.closed[name] {
+			loop.Sleep(node, time.Millisecond)
+			continue
+		}
+		park.Deliver(node, name, func(at *sim.Node) {
+			var out []string
+			daemon := park.Datas[name]
+			for _, one := range daemon.Decider.Doors(Region(zone), zone) {
+				out = append(out, one.Door)
+			}
+			park.Deliver(at, node.Name, func(*sim.Node) { box.Put(out) })
+		})
+		if got, has := box.Take(doorPatience); has && len(got.([]string)) > 0 {
+			caller.doors, caller.until = got.([]string), node.Now()+park.Datas[name].DoorSpan()
+			return
+		}
+	}
+}
+
+// request takes one request through its tries.
+func (caller *routedCaller) request() {
+	park, node, crowd := caller.park, caller.node, caller.crowd
+	park.drawn++
+	number := park.drawn
+	one := &RoutedRequest{ID: fmt.Sprintf("%s.%d", crowd.Name, number), Crowd: crowd, At: node.Now()}
+	park.RoutedRequests = append(park.RoutedRequests, one)
+	defer func() { one.End = node.Now() }()
+	ask := asked{most: crowd.Most}
+	if crowd.Shared > 0 {
+		group := uint64(park.Draw(int64(max(1, crowd.Groups))))
+		ask.parts = append(ask.parts, decide.Part{ID: 1<<40 + group<<8 + uint64(len(crowd.Path)), Tokens: crowd.Shared})
+	}
+	ask.parts = append(ask.parts, decide.Part{ID: 1<<50 + uint64(number), Tokens: crowd.Own})
+	expiry := one.At + crowd.Patience
+	for {
+		try := &RoutedTry{ID: fmt.Sprintf("%s.%d", one.ID, len(one.Tries)), Sent: node.Now(), request: one}
+		one.Tries = append(one.Tries, try)
+		park.askedOf[try.ID], park.tried[try.ID] = ask, try
+		if crowd.Resume {
+			try.After = one.Got
+		}
+		try.Daemon = caller.door()
+		one.Verdict = "nowhere"
+		if try.Daemon != "" {
+			one.Verdict = caller.try(one, try, ask, expiry)
+		}
+		try.End = node.Now()
+		left := expiry - node.Now()
+		switch {
+		case one.Verdict == "ok" || left <= 0 || len(one.Tries) >= max(1, crowd.Tries) && try.Daemon != "" || len(one.Tries) > 8:
+			return
+		case try.Status >= 200 && try.Status < 300 && !crowd.Resume && !crowd.Repeatable:
+			return
+		case try.Status >= 400 && try.Status < 500 && !try.promised():
+			return
+		case !crowd.Repeatable && !try.promised() && try.IsRead:
+			return
+		case !crowd.Resume && one.Got > 0:
+			return // what it has can't be taken back
+		}
+		loop.Sleep(node, max(20*time.Millisecond, min(try.ComeBack, left/3)))
+	}
+}
+
+// doorHead, doorEnd are what a daemon's answer begins and ends with.
+type doorHead struct{ status int }
+
+type doorEnd struct {
+	mishap *verdict.Mishap // of a request that was declined; nil behind a head
+	err    error
+}
+
+// link is a caller's connection to a daemon.
+type link struct {
+	box  loop.Mailbox
+	node *sim.Node
+	gone bool
+}
+
+// try makes one try at a daemon, and tells how it ended.
+func (caller *routedCaller) try(one *RoutedRequest, try *RoutedTry, ask asked, expiry time.Duration) string {
+	park, node, crowd := caller.park, caller.node, caller.crowd
+	name := try.Daemon
+	shun := func() {
+		if caller.shunned == nil {
+			caller.shunned = map[string]time.Duration{}
+		}
+		caller.shunned[name] = node.Now() + 2*time.Second
+	}
+	delay, isOpen := park.Reach(node.Name, name)
+	switch {
+	case !isOpen || park.Node(name).Frozen():
+		loop.Sleep(node, time.Second) // the dial runs out
+		shun()
+		return "unreached"
+	case !park.Node(name).Up() || park.closed[name]:
+		loop.Sleep(node, 2*delay)
+		shun()
+		return "unreached"
+	}
+	link := &link{box: node.Mailbox(), node: node}
+	park.links[name] = append(park.links[name], link)
+	leaver := &execute.Leaver{}
+	defer func() {
+		link.gone = true
+		for at, other := range park.links[name] {
+			if other == link {
+				park.links[name] = append(park.links[name][:at:at], park.links[name][at+1:]...)
+				break
+			}
+		}
+		if try.IsWhole || try.Code != "" {
+			return
+		}
+		daemon, life := park.Node(name), park.Datas[name]
+		park.At(leaveSeen, func() {
+			if daemon.Up() && park.Datas[name] == life {
+				daemon.Go(leaver.Leave)
+			}
+		})
+	}()
+	try.IsRead = true
+	after := ""
+	if try.After > 0 {
+		after = strconv.Itoa(try.After)
+	}
+	left := expiry - node.Now()
+	park.Deliver(node, name, func(at *sim.Node) {
+		var lane sim.Lane
+		send := func(piece any) {
+			if !link.gone {
+				park.Send(&lane, at, node.Name, func(*sim.Node) { link.box.Put(piece) })
+			}
+		}
+		routed := &decide.Routed{ID: try.ID, Host: crowd.Host, Path: crowd.Path, Most: ask.most, Parts: ask.parts, Expiry: at.Now() + left}
+		for _, part := range ask.parts {
+			routed.Tokens += part.Tokens
+		}
+		routed.Bytes = 4 * routed.Tokens
+		serveRouted(park.Datas[name], routed, replica.Ask{Method: []byte("POST"), Host: []byte(crowd.Host), URI: []byte(crowd.Path), After: after}, leaver, send)
+	})
+	silence := max(leastSilence, targetSilence*crowd.Target, gapSilence*crowd.Gap)
+	for {
+		got, has := link.box.Take(min(silence, expiry-node.Now()))
+		if !has {
+			try.IsSilent = true
+			shun()
+			return "silent"
+		}
+		switch got := got.(type) {
+		case piece:
+			shun()
+			return "reset"
+		case doorHead:
+			try.Status = got.status
+		case []byte:
+			caller.event(one, try, got)
+		case doorEnd:
+			switch {
+			case got.mishap != nil:
+				try.Status, try.Code, try.ComeBack = got.mishap.Status, got.mishap.Code, got.mishap.ComeBack
+				return "declined"
+			case got.err != nil:
+				return "cut"
+			}
+			try.IsWhole = true
+			if try.Status >= 300 {
+				return "failed"
+			}
+			if one.Got != crowd.Most {
+				one.Wrong = fmt.Sprintf("looked whole with %d of %d tokens", one.Got, crowd.Most)
+			}
+			return "ok"
+		}
+	}
+}
+
+// event notes an event that came, which has to go on where the one before ended.
+func (caller *routedCaller) event(one *RoutedRequest, try *RoutedTry, text []byte) {
+	now := caller.node.Now()
+	if one.First == 0 {
+		one.First = now
+	} else {
+		one.Pause = max(one.Pause, now-one.lastEvent)
+	}
+	one.lastEvent = now
+	for _, event := range bytes.SplitAfter(text, []byte("\n\n")) {
+		if len(event) == 0 {
+			continue
+		}
+		var id, from, until int
+		var name, life string
+		if _, err := fmt.Sscanf(string(event), "id: %d\ndata: %s %s %d %d\n\n", &id, &name, &life, &from, &until); err != nil {
+			one.Wrong = fmt.Sprintf("got %q", event)
+			return
+		}
+		switch {
+		case name != try.ID:
+			one.Wrong = "got an event of " + name
+		case from != one.Got || until <= from || id != until:
+			one.Wrong = fmt.Sprintf("got tokens %d to %d behind %d", from, until, one.Got)
+		case life != one.lastLife && one.lastLife != "" && !caller.crowd.Resume:
+			one.Wrong = "got pieces of two runs"
+		}
+		one.Got, one.lastLife = until, life
+		try.Tokens += until - from
+	}
+}
+
+// serveRouted does what a daemon's door does with a request, without sockets.
+func serveRouted(daemon *dataplane.Daemon, routed *decide.Routed, ask replica.Ask, leaver *execute.Leaver, send func(any)) {
+	if mishap := daemon.Decider.Direct(routed); mishap != nil {
+		send(doorEnd{mishap: mishap})
+		return
+	}
+	passage, mishap := daemon.Executor.Relay(routed, ask, leaver)
+	if mishap != nil {
+		send(doorEnd{mishap: mishap})
+		return
+	}
+	defer passage.Close()
+	send(doorHead{passage.Status})
+	buffer := make([]byte, 4<<10)
+	for {
+		count, err := passage.Read(buffer)
+		if count > 0 {
+			send(bytes.Clone(buffer[:count]))
+		}
+		if errors.Is(err, io.EOF) {
+			send(doorEnd{})
+			return
+		} else if err != nil {
+			send(doorEnd{err: err})
+			return
+		}
+	}
+}
--- /dev/null
+++ b/fleet/routes.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// RoutedShape is the shape of a deployment whose requests go by routes.
+type RoutedShape struct {
+	// Regions are its regions, whose one zone has the name and -1; Engines and Datas how
+	// many each of them has.
+	Regions        []string
+	Engines, Datas []int
+	// Busy is how many callers a region has for each engine of its.
+	Busy float64
+	// Reports makes engines tell their load.
+	Reports bool
+}
+
+// engine is a stand-in with the parameters of a deployment's sheet.
+func engine(name, zone, model string, reports bool) EngineOptions {
+	return EngineOptions{
+		Name: name, Zone: zone, Model: model, Version: "v1", Berths: 64, Queue: 16, CacheTokens: 348621, Stride: 4, Chunk: 1024,
+		Step: 5610 * time.Microsecond, StepEach: 121 * time.Microsecond, Prefill: 54.6, First: 61 * time.Millisecond,
+		Cold: 3 * time.Second, ColdRate: 26, Reports: reports,
+	}
+}
+
+// The two kinds of requests, and the models that may get them.
+const (
+	mainModel  = "scribe"
+	spareModel = "clerk"
+	routedHost = "office.example"
+)
+
+// RouteWords are the routes of a document: by name, what comes after it.
+type RouteWords map[string]string
+
+// Routes are the routes that callers use. Those of notices stay in the first and last
+// region.
+func (shape RoutedShape) Routes() RouteWords {
+	homes := fmt.Sprintf("%q,%q", shape.Regions[0], shape.Regions[len(shape.Regions)-1])
+	return RouteWords{
+		"check":  `"host":"office.example","prefix":"/check/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"urgency":1,"tries":2,"resume":true,"shares":[{"model":"scribe","weight":1}]`,
+		"notice": `"host":"office.example","prefix":"/notice/","kind":"streamed","timeout_ms":8000,"target_ms":600,"gap_ms":300,"urgency":0,"tries":1,"homes":[` + homes + `],"shares":[{"model":"scribe","weight":1}]`,
+		"moved":  `"host":"office.example","prefix":"/moved/","kind":"streamed","timeout_ms":8000,"target_ms":800,"gap_ms":300,"urgency":2,"tries":1,"shares":[{"model":"clerk","weight":1}]`,
+	}
+}
+
+// Document is the configuration with the routes.
+func (shape RoutedShape) Document(routes RouteWords) string {
+	var words, regions []string
+	for _, name := range []string{"check", "notice", "moved", "more"} {
+		if rest, has := routes[name]; has {
+			words = append(words, fmt.Sprintf(`{"name":%q,%s}`, name, rest))
+		}
+	}
+	for _, region := range shape.Regions {
+		regions = append(regions, fmt.Sprintf(`%q:{"platform":"http://%s","zones":{"%s-1":{}}}`, region, region, region))
+	}
+	engine := `{"probe_path":"/vitals","conn_cap":370,"cold_ms":3000,"cold_per_s":26,"berths":64,"cache_tokens":348621,"spacing":4}`
+	return fmt.Sprintf(`{"whole":{"placements":{"scribe":{"version":"any","capacity":64},"clerk":{"version":"any","capacity":64}},
+  "limits":{"permit_ms":1800,"session_ms":1200,"platform_ms":1000,"dark_ms":900,"probe_ms":450}},
+ "engines":{"scribe":%s,"clerk":%s},"routes":[%s],"regions":{%s}}`, engine, engine, strings.Join(words, ","), strings.Join(regions, ","))
+}
+
+// Plan is the fleet of the shape, each region with one engine of the spare model beside
+// its own.
+func (shape RoutedShape) Plan() Plan {
+	plan := Plan{Model: mainModel, Lag: 500 * time.Millisecond, Least: 300 * time.Millisecond, Grace: 5 * time.Second, Document: shape.Document(shape.Routes())}
+	for at, region := range shape.Regions {
+		zone := region + "-1"
+		plan.Controls = append(plan.Controls, fmt.Sprintf("c%d:%s", at+1, zone))
+		for index := range shape.Datas[at] {
+			plan.Datas = append(plan.Datas, fmt.Sprintf("d-%s-%d:%s", region, index+1, zone))
+		}
+		for index := range shape.Engines[at] {
+			plan.Engines = append(plan.Engines, engine(fmt.Sprintf("e-%s-%d", region, index+1), zone, mainModel, shape.Reports))
+		}
+		plan.Engines = append(plan.Engines, engine("s-"+region, zone, spareModel, shape.Reports))
+		busy := func(part float64) int { return max(1, int(part*shape.Busy*float64(shape.Engines[at]))) }
+		plan.Routed = append(plan.Routed,
+			RoutedCrowd{Name: "check-" + region, Zone: zone, Host: routedHost, Path: "/check/one", Workers: busy(1), Pause: 600 * time.Millisecond, Shared: 13300, Own: 3720, Groups: 6, Most: 48,
+				Patience: 10 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Repeatable: true, Resume: true, Tries: 2},
+			RoutedCrowd{Name: "notice-" + region, Zone: zone, Host: routedHost, Path: "/notice/one", Workers: busy(0.5), Pause: 800 * time.Millisecond, Own: 383, Most: 120,
+				Patience: 8 * time.Second, Target: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2},
+			RoutedCrowd{Name: "moved-" + region, Zone: zone, Host: routedHost, Path: "/moved/one", Workers: 1, Pause: 200 * time.Millisecond, Own: 200, Most: 8,
+				Patience: 8 * time.Second, Target: 800 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2})
+	}
+	return plan
+}
+
+// RoutedShapes are both deployments by name.
+var RoutedShapes = map[string]RoutedShape{
+	"large": {Regions: []string{"east", "middle", "west"}, Engines: []int{8, 6, 4}, Datas: []int{2, 2, 2}, Busy: 2, Reports: true},
+	"small": {Regions: []string{"north", "south", "sea"}, Engines: []int{4, 3, 2}, Datas: []int{3, 3, 2}, Busy: 2},
+}
--- a/replica/relay.go
+++ b/replica/relay.go
@@ -103,17 +103,31 @@
 	Opened uint64
 }
 
-// Answer is an answer under way. Next gives what can be passed on, whole events where
-// it is a stream of them; io.EOF comes only after a clean end of the whole body.
+// Source is where an answer's bytes come from. Next gives what can be passed on, whole
+// events where it is a stream of them, valid until the next call; io.EOF comes only
+// after a clean end of the whole body, any other error means that it was cut. Close may
+// be called at any time, and ends the request at its replica if it is under way.
+type Source interface {
+	Next() ([]byte, error)
+	Close()
+}
+
+// Answer is an answer under way.
 type Answer struct {
 	Head
 	Header *fasthttp.ResponseHeader
 	// Length is that of the body, below zero when it is not told beforehand.
 	Length int
+	Source
+}
 
+// reading is an answer that is read off a connection.
+type reading struct {
+	events  bool
+	keep    time.Duration
 	relay   *Relay
 	line    *line
-	answer  *fasthttp.Response
+	answer  *fasthttp.Response // its buffers stay in use until the end
 	ask     *Ask
 	expiry  time.Duration
 	body    io.Reader
@@ -263,17 +277,18 @@
 			}
 			continue
 		}
-		out := &Answer{Head: head, Header: &answer.Header, Length: answer.Header.ContentLength(), relay: relay, line: one, answer: answer, ask: ask, expiry: expiry, body: answer.BodyStream(), closing: answer.ConnectionClose()}
-		if out.body == nil {
-			out.body = bytes.NewReader(nil)
+		body := &reading{events: head.Events, keep: head.Keep, relay: relay, line: one, answer: answer, ask: ask, expiry: expiry, body: answer.BodyStream(), closing: answer.ConnectionClose()}
+		if body.body == nil {
+			body.body = bytes.NewReader(nil)
 		}
+		out := &Answer{Head: head, Header: &answer.Header, Length: answer.Header.ContentLength(), Source: body}
 		if head.Unsound != "" {
 			out.Close()
 			return nil, &verdict.Mishap{Verdict: verdict.MayHaveRun, Code: "replica_garbled", Message: "the replica's answer is no answer: " + head.Unsound, Status: 502}
 		}
 		if head.NotRun || head.Elsewhere {
-			if _, err := io.Copy(io.Discard, io.LimitReader(out.body, 64<<10)); err == nil {
-				out.ended = true
+			if _, err := io.Copy(io.Discard, io.LimitReader(body.body, 64<<10)); err == nil {
+				body.ended = true
 			}
 			out.Close()
 			if head.Elsewhere {
@@ -316,63 +331,63 @@
 }
 
 // Next gives the next bytes to pass on. They are valid until the next call.
-func (answer *Answer) Next() ([]byte, error) {
-	if answer.buffer == nil {
-		answer.buffer = make([]byte, 2<<10)
+func (reading *reading) Next() ([]byte, error) {
+	if reading.buffer == nil {
+		reading.buffer = make([]byte, 2<<10)
 	}
 	for {
-		if answer.ended {
-			if len(answer.held) > 0 {
+		if reading.ended {
+			if len(reading.held) > 0 {
 				return nil, ErrCut // the body ended within an event
 			}
 			return nil, io.EOF
 		}
-		if err := answer.relay.wait(answer.ask, answer.line, answer.expiry, true); err != nil {
+		if err := reading.relay.wait(reading.ask, reading.line, reading.expiry, true); err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return nil, fmt.Errorf("%w: %w", ErrCut, err)
 		}
-		count, err := answer.body.Read(answer.buffer)
+		count, err := reading.body.Read(reading.buffer)
 		if err == io.EOF {
-			answer.ended = true
+			reading.ended = true
 		} else if err != nil {
 			return nil, fmt.Errorf("%w: %v", ErrCut, err)
 		}
 		if count == 0 {
 			continue
 		}
-		if !answer.Events {
-			return answer.buffer[:count], nil
+		if !reading.events {
+			return reading.buffer[:count], nil
 		}
-		whole := answer.buffer[:count]
-		if len(answer.held) > 0 {
-			whole = append(answer.held, whole...)
+		whole := reading.buffer[:count]
+		if len(reading.held) > 0 {
+			whole = append(reading.held, whole...)
 		}
 		end := bytes.LastIndex(whole, []byte("\n\n"))
 		if at := bytes.LastIndex(whole, []byte("\r\n\r\n")); at >= 0 && at+2 > end {
 			end = at + 2
 		}
 		if end < 0 {
-			answer.held = append([]byte{}, whole...)
+			reading.held = append([]byte{}, whole...)
 			continue
 		}
-		answer.held = append([]byte{}, whole[end+2:]...)
+		reading.held = append([]byte{}, whole[end+2:]...)
 		return whole[:end+2], nil
 	}
 }
 
 // Close ends the answer. The connection is kept only after a clean end.
-func (answer *Answer) Close() {
-	answer.closed.Do(func() {
-		if answer.ask.Bind != nil {
-			answer.ask.Bind(nil)
+func (reading *reading) Close() {
+	reading.closed.Do(func() {
+		if reading.ask.Bind != nil {
+			reading.ask.Bind(nil)
 		}
-		if answer.ended && !answer.closing && len(answer.held) == 0 && answer.line.reader.Buffered() == 0 {
-			_ = answer.line.SetDeadline(time.Time{})
-			answer.relay.give(answer.ask.Address, answer.line, answer.Keep)
+		if reading.ended && !reading.closing && len(reading.held) == 0 && reading.line.reader.Buffered() == 0 {
+			_ = reading.line.SetDeadline(time.Time{})
+			reading.relay.give(reading.ask.Address, reading.line, reading.keep)
 			return
 		}
-		answer.line.Close()
+		reading.line.Close()
 	})
 }
