Checkers and faults for routed requests; a 503 is no promise behind a dispatch that may have run

Cause: under a zone's loss the new checker found requests that were told 503 though an earlier dispatch of theirs had run: dispatch gave the last mishap, not the worst. Ruled out: requests that may not be repeated, as those are sent once unless turned away. Conclusion: a mishap of NotRun is given only if no dispatch may have run.

--- a/execute/relay.go
+++ b/execute/relay.go
@@ -69,18 +69,23 @@
 // dispatch sends the request, or the rest of it, until a replica has begun to answer.
 func (passage *Passage) dispatch() *verdict.Mishap {
 	executor, routed := passage.executor, passage.routed
-	var last *verdict.Mishap
+	// doubt is the last mishap after which the request has run or may have.
+	var doubt *verdict.Mishap
+	// ended is what the caller is told: that nothing ran only if no dispatch may have.
+	ended := func(mishap *verdict.Mishap) *verdict.Mishap {
+		if mishap.Verdict == verdict.NotRun && doubt != nil {
+			return doubt
+		}
+		return mishap
+	}
 	for {
 		selection, mishap := executor.Decider.Route(routed, passage.avoid)
 		if mishap != nil {
-			if last != nil && last.Verdict != verdict.NotRun {
-				return last
-			}
-			return mishap
+			return ended(mishap)
 		}
 		if passage.leaver.Gone() {
 			executor.Decider.Unseat(selection, left(verdict.NotRun, nil), 0)
-			return left(verdict.NotRun, nil)
+			return ended(left(verdict.NotRun, nil))
 		}
 		passage.selection = selection
 		now := executor.World.Now()
@@ -104,10 +109,11 @@
 				load = &decide.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}
 			}
 			executor.Decider.Heard(selection, load)
-			if answer.Status >= 500 && passage.again(&verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed", Status: answer.Status}) {
+			if failed := (&verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed", Message: "the replica failed", Status: 502}); answer.Status >= 500 && passage.again(failed) {
 				answer.Close()
-				passage.unseat(&verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed", Status: answer.Status})
+				passage.unseat(failed)
 				passage.avoid[selection.Replica] = true
+				doubt = failed
 				continue
 			}
 			if passage.Head.Status == 0 {
@@ -116,28 +122,30 @@
 			passage.answer = answer
 			return nil
 		}
-		last = mishap
+		if mishap.Verdict != verdict.NotRun {
+			doubt = mishap
+		}
 		passage.unseat(mishap)
 		if passage.leaver.Gone() {
-			return left(mishap.Verdict, mishap.Cause)
+			return ended(left(mishap.Verdict, mishap.Cause))
 		}
 		switch mishap.Code {
 		case "moved_on":
 			continue // nothing left this daemon
 		case "no_permit":
-			return mishap
+			return ended(mishap)
 		case replica.AnewCode, "replica_unreached":
 			// Nothing ran and, but for one of a former life, nothing arrived.
 			passage.avoid[selection.Replica] = true
 			if passage.missed++; passage.missed >= mostMissed {
-				return mishap
+				return ended(mishap)
 			}
 			continue
 		}
 		passage.sent++
 		passage.avoid[selection.Replica] = true
 		if !passage.again(mishap) {
-			return mishap
+			return ended(mishap)
 		}
 	}
 }
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -42,6 +42,9 @@
 	// SmallShare is the most of a kind's requests that the bad version may have
 	// got in a region before the route moved.
 	SmallShare float64
+	// Books are the configurations with routes, in the order in which they were asked
+	// for.
+	Books []Book
 	// Missed is what had to have happened and did not: the run showed nothing.
 	Missed []error
 }
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -37,7 +37,6 @@
 	Reports bool
 	// Slower multiplies all its times; 0 is 1.
 	Slower float64
-	// Fails are shares of answers, beside what Troubles says.
 	Troubles
 }
 
@@ -46,6 +45,8 @@
 	// Fails are answered 500; Breaks are broken off after an event; Loses run and are
 	// never answered; Repeats are answered once more, late, on the same connection.
 	Fails, Breaks, Loses, Repeats float64
+	// Skips lack an event in the middle, which only a lying engine does.
+	Skips float64
 }
 
 // coldFall is how many times its cold rate, and coldFallMore how many requests above
@@ -519,7 +520,9 @@
 	}
 	if (isWhole || one.made-one.sent >= engine.Stride) && !one.isLost {
 		// The text names the run, so that a mix-up is seen by the caller.
-		one.send(wirePiece{event: fmt.Appendf(nil, "id: %d\ndata: %s %s %d %d\n\n", one.made, one.run.ID, one.run.Life, one.sent, one.made)})
+		if one.sent == one.from || !engine.happens(engine.Skips) {
+			one.send(wirePiece{event: fmt.Appendf(nil, "id: %d\ndata: %s %s %d %d\n\n", one.made, one.run.ID, one.run.Life, one.sent, one.made)})
+		}
 		one.sent = one.made
 	}
 	if isWhole {
--- /dev/null
+++ b/fleet/faultsrouted.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"swifttiller/controlplane"
+	"swifttiller/settings"
+	"swifttiller/sim"
+)
+
+// ApplyRoutes applies the shape's document with other routes, and notes it.
+func (park *Park) ApplyRoutes(facts *Facts, routes RouteWords) error {
+	park.Document = park.Shape.Document(routes)
+	document := park.Vary()
+	tree, problems := settings.Parse(document)
+	if len(problems) > 0 {
+		return problems
+	}
+	at := len(facts.Books)
+	facts.Books = append(facts.Books, Book{Asked: park.Now(), Tree: tree})
+	return park.Do(park.control(), 20*time.Second, func(daemon *controlplane.Daemon) error {
+		applied, err := daemon.Apply(document, nil, false)
+		if err == nil {
+			facts.Books[at].Acked = park.Now()
+			park.acknowledge(facts, daemon, applied.Serial)
+		}
+		return err
+	})
+}
+
+// BeginRouted gives the facts that hold before anything is done.
+func (park *Park) BeginRouted() Facts {
+	facts := Facts{From: park.Now()}
+	tree, _ := settings.Parse([]byte(park.Document))
+	facts.Books = []Book{{Asked: 0, Acked: time.Nanosecond, Tree: tree}}
+	return facts
+}
+
+// anyEngine draws an engine of the main model that runs.
+func (park *Park) anyEngine() string {
+	var names []string
+	for _, options := range park.Plan.Engines {
+		if options.Model == mainModel && park.Node(options.Name).Up() {
+			names = append(names, options.Name)
+		}
+	}
+	return names[park.Draw(int64(len(names)))]
+}
+
+func (park *Park) eachEngine(do func(engine *Engine)) {
+	for _, options := range park.Plan.Engines {
+		do(park.Engines[options.Name])
+	}
+}
+
+// ReplaceEngine ends an engine as platforms do: it is marked and gets its grace, then
+// another one begins at its address.
+func (park *Park) ReplaceEngine(name string, grace time.Duration) {
+	options := park.Engines[name].EngineOptions
+	park.Engines[name].Leaving = true
+	park.Listed.Leave(name)
+	park.Run(park.Plan.Lag + grace)
+	park.Crash(name)
+	park.Listed.Remove(name)
+	park.Run(time.Second)
+	park.StartEngine(options)
+}
+
+// troubled lets some of all engines' answers go wrong for a while.
+func troubled(troubles Troubles, span time.Duration) func(*Park, *Facts) {
+	return func(park *Park, _ *Facts) {
+		park.eachEngine(func(engine *Engine) { engine.Troubles = troubles })
+		park.Run(span)
+		park.eachEngine(func(engine *Engine) { engine.Troubles = Troubles{} })
+	}
+}
+
+func (park *Park) someData() string { return park.pick(park.Plan.Datas) }
+
+// RoutedFaults are all that is tried with routed requests, singly.
+var RoutedFaults = []Fault{
+	{"engine crashes and comes back cold", false, func(park *Park, _ *Facts) {
+		name := park.anyEngine()
+		options := park.Engines[name].EngineOptions
+		park.Crash(name)
+		park.Run(2 * time.Second)
+		park.StartEngine(options)
+		park.Run(4 * time.Second)
+	}, []string{"whole"}},
+	{"engine crashes and its address goes to another model", false, func(park *Park, _ *Facts) {
+		name := park.anyEngine()
+		options := park.Engines[name].EngineOptions
+		park.Crash(name)
+		park.Run(300 * time.Millisecond)
+		options.Model = spareModel
+		park.StartEngine(options)
+		park.Run(5 * time.Second)
+	}, []string{"routes"}},
+	{"engine goes dark", false, func(park *Park, _ *Facts) {
+		name := park.anyEngine()
+		park.Split([]string{name}, park.rest(name), true)
+		park.Run(5 * time.Second)
+		park.Split([]string{name}, park.rest(name), false)
+	}, []string{"whole"}},
+	{"engine freezes", false, func(park *Park, _ *Facts) {
+		park.Freeze(park.anyEngine(), 4*time.Second)
+		park.Run(4 * time.Second)
+	}, []string{"whole"}},
+	{"engine gets slow", false, func(park *Park, _ *Facts) {
+		name := park.anyEngine()
+		park.Engines[name].Slower = 8
+		park.Run(6 * time.Second)
+		park.Engines[name].Slower = 1
+	}, []string{"whole"}},
+	{"engine gone at short notice", false, func(park *Park, _ *Facts) {
+		park.ReplaceEngine(park.anyEngine(), 1500*time.Millisecond)
+		park.Run(4 * time.Second)
+	}, []string{"whole"}},
+	{"engines replaced one by one", true, func(park *Park, _ *Facts) {
+		for range 2 {
+			park.ReplaceEngine(park.anyEngine(), LeavingBound+4*time.Second)
+			park.Run(time.Second)
+		}
+	}, []string{"routed leaving", "routed lost"}},
+	{"zone comes back cold", false, func(park *Park, _ *Facts) {
+		zone := park.Plan.Engines[0].Zone
+		var names []string
+		for _, options := range park.Plan.Engines {
+			if options.Zone == zone {
+				names = append(names, options.Name)
+			}
+		}
+		park.Lose(names)
+		park.Run(3 * time.Second)
+		park.Return(names)
+		park.Run(5 * time.Second)
+	}, []string{"cold"}},
+	{"engines become cold at once", false, func(park *Park, _ *Facts) {
+		park.eachEngine((*Engine).Chill)
+		park.Run(5 * time.Second)
+	}, nil},
+	{"region lost", false, func(park *Park, _ *Facts) {
+		inside, _ := park.inRegion(park.Shape.Regions[2])
+		lost := park.Lose(inside)
+		park.Run(5 * time.Second)
+		park.Return(lost)
+		park.Run(5 * time.Second)
+	}, []string{"cold"}},
+	{"region cut", false, func(park *Park, _ *Facts) {
+		inside, outside := park.inRegion(park.Shape.Regions[1])
+		park.Split(inside, outside, true)
+		park.Run(7 * time.Second)
+		park.Split(inside, outside, false)
+	}, []string{"promise"}},
+	{"core machine killed", false, func(park *Park, _ *Facts) {
+		name := park.pick(park.Plan.Controls)
+		park.Crash(name)
+		park.Run(5 * time.Second)
+		park.StartControl(name)
+	}, []string{"whole"}},
+	{"core machine frozen", false, func(park *Park, _ *Facts) {
+		park.Freeze(park.pick(park.Plan.Controls), 5*time.Second)
+		park.Run(5 * time.Second)
+	}, []string{"whole"}},
+	{"core machine cut", false, func(park *Park, _ *Facts) {
+		name := park.pick(park.Plan.Controls)
+		park.Split([]string{name}, park.rest(name), true)
+		park.Run(5 * time.Second)
+		park.Split([]string{name}, park.rest(name), false)
+	}, []string{"whole"}},
+	{"data daemon killed", false, func(park *Park, _ *Facts) {
+		name := park.someData()
+		park.Crash(name)
+		park.Run(2 * time.Second)
+		park.StartData(name)
+	}, []string{"rerun"}},
+	{"data daemon frozen", false, func(park *Park, _ *Facts) {
+		park.Freeze(park.someData(), 5*time.Second)
+		park.Run(6 * time.Second)
+	}, []string{"rerun"}},
+	{"data daemons restarted", true, func(park *Park, _ *Facts) {
+		for _, word := range park.Plan.Datas[:2] {
+			name, _ := split(word)
+			park.StopData(name)
+			park.Run(500 * time.Millisecond)
+			park.StartData(name)
+			park.Run(2 * time.Second)
+		}
+	}, []string{"routed lost", "fallback"}},
+	{"routes moved, added and dropped", true, func(park *Park, facts *Facts) {
+		// One that holds an old view sends on by it, as far as it may.
+		crowd := park.Plan.Routed[len(park.Plan.Routed)-1]
+		crowd.Name, crowd.Path, crowd.Workers, crowd.From = "more", "/more/one", 3, park.Now()
+		crowd.Until = park.Now() + 12*time.Second
+		park.crowdRouted(&crowd)
+		words := park.Shape.Routes()
+		before := words["moved"]
+		words["moved"] = `"host":"office.example","prefix":"/moved/","kind":"streamed","timeout_ms":6000,"target_ms":800,"tries":1,"shares":[{"model":"scribe","weight":1}]`
+		words["more"] = `"host":"office.example","prefix":"/more/","kind":"streamed","timeout_ms":6000,"target_ms":800,"tries":1,"shares":[{"model":"clerk","weight":1}]`
+		facts.Need("apply", park.ApplyRoutes(facts, words))
+		park.Run(4 * time.Second)
+		words["moved"] = before
+		delete(words, "more")
+		facts.Need("apply", park.ApplyRoutes(facts, words))
+		park.Run(4 * time.Second)
+		ran := 0
+		for _, run := range park.Runs {
+			if run.Model == spareModel && park.tried[run.ID].request.Crowd.Name == "more" {
+				ran++
+			}
+		}
+		facts.Must("an added route served", ran > 0)
+	}, []string{"routes", "routed lost"}},
+	{"routes moved while a data daemon is cut from the core", false, func(park *Park, facts *Facts) {
+		name := park.someData()
+		park.Split([]string{name}, park.controls(), true)
+		words := park.Shape.Routes()
+		words["moved"] = `"host":"office.example","prefix":"/moved/","kind":"streamed","timeout_ms":6000,"target_ms":800,"tries":1,"shares":[{"model":"scribe","weight":1}]`
+		facts.Need("apply", park.ApplyRoutes(facts, words))
+		park.Run(5 * time.Second)
+		park.Split([]string{name}, park.controls(), false)
+	}, []string{"routes", "promise"}},
+	{"evacuation and return", true, func(park *Park, facts *Facts) {
+		zone := park.Plan.Engines[0].Zone
+		facts.Need("evacuate", park.Evacuate(facts, zone, false))
+		park.Run(EvacuatedBound + 2*time.Second)
+		for _, options := range park.Plan.Engines {
+			if options.Zone == zone {
+				park.Engines[options.Name].Chill()
+			}
+		}
+		facts.Need("hand back", park.Evacuate(facts, zone, true))
+		park.Run(4 * time.Second)
+	}, []string{"routed evacuated", "routed lost", "cold"}},
+	{"crowd", false, func(park *Park, _ *Facts) {
+		for _, crowd := range append([]RoutedCrowd{}, park.Plan.Routed...) {
+			crowd.Name, crowd.Workers, crowd.From, crowd.Until = "crowd-"+crowd.Name, crowd.Workers*3/2, park.Now(), park.Now()+8*time.Second
+			park.crowdRouted(&crowd)
+		}
+		park.Run(9 * time.Second)
+	}, []string{"whole"}},
+	{"late second answers", false, func(park *Park, facts *Facts) {
+		troubled(Troubles{Repeats: 0.3}, 6*time.Second)(park, facts)
+		facts.Must("some answers came twice", park.Repeated > 0)
+	}, []string{"whole"}},
+	{"answers broken off", false, troubled(Troubles{Breaks: 0.15}, 6*time.Second), []string{"rerun", "routed retries"}},
+	{"answers lost", false, troubled(Troubles{Loses: 0.05}, 6*time.Second), []string{"rerun"}},
+	{"answers failed", false, troubled(Troubles{Fails: 0.15}, 6*time.Second), []string{"rerun", "routed retries"}},
+	{"calls lost, repeated and late", false, func(park *Park, _ *Facts) {
+		park.Unruly = sim.Unruly{Lost: 0.05, Repeated: 0.1, Late: 0.1, Latest: 1500 * time.Millisecond}
+		park.Run(6 * time.Second)
+		park.Unruly = sim.Unruly{}
+	}, []string{"whole"}},
+}
+
+// String names a run, for messages.
+func (run *Run) String() string {
+	return fmt.Sprintf("%s on %s (%s)", run.ID, run.Engine, run.Life)
+}
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -34,6 +34,7 @@
 	// by routes.
 	Engines []EngineOptions
 	Routed  []RoutedCrowd
+	Shape   RoutedShape
 	// Lag and Least are the platform's; Grace its grace when stopping a replica.
 	Lag, Least, Grace time.Duration
 }
--- a/fleet/routed_test.go
+++ b/fleet/routed_test.go
@@ -1,34 +1,260 @@
 package fleet_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"swifttiller/fleet"
+	"swifttiller/settings"
 )
 
+// warmRouted is when a routed fleet has settled: its permits stand, and its engines
+// have kept what is shared.
+const warmRouted = 5 * time.Second
+
+// tryRouted runs a fault over a warm routed fleet and checks every rule.
+func tryRouted(t *testing.T, shape string, seed uint64, fault fleet.Fault) {
+	t.Helper()
+	park := fleet.NewPark(seed, fleet.RoutedShapes[shape].Plan())
+	defer park.Close()
+	park.Run(warmRouted)
+	facts := park.BeginRouted()
+	facts.Planned = fault.Planned
+	fault.Run(park, &facts)
+	park.Run(4 * time.Second)
+	from := park.Now()
+	park.Run(3 * time.Second)
+	park.Quiet = true
+	until := park.Now()
+	park.Run(6500 * time.Millisecond)
+	answered, asked := fleet.RoutedRate(park, from, until)
+	during, all := fleet.RoutedRate(park, facts.From, from)
+	broken, judged := fleet.CheckRouted(park, facts)
+	show(t, seed, broken)
+	for _, missed := range facts.Missed {
+		t.Errorf("vacuous: %v", missed)
+	}
+	for _, rule := range fault.Judges {
+		if judged[rule] == 0 {
+			t.Errorf("vacuous: the checker for %q had nothing to judge", rule)
+		}
+	}
+	if asked == 0 || answered*10 < asked*9 {
+		t.Errorf("serves %d of %d after the fault is over", answered, asked)
+	}
+	t.Logf("%d of %d ended well from the fault on, %d of %d behind it; judged %v", during, all, answered, asked, judged)
+	if t.Failed() {
+		t.Logf("replay: go test ./fleet -run '%s' -seed %d", t.Name(), seed)
+	}
+}
+
+// TestRoutedCalm: nothing goes wrong where nothing does.
 func TestRoutedCalm(t *testing.T) {
-	for name, shape := range fleet.RoutedShapes {
+	for name := range fleet.RoutedShapes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			park := fleet.NewPark(1, shape.Plan())
-			defer park.Close()
-			park.Run(20 * time.Second)
-			park.Quiet = true
-			park.Run(5 * time.Second)
-			count := map[string]int{}
-			for _, one := range park.RoutedRequests {
-				count[one.Crowd.Name+" "+one.Verdict+" "+one.Tries[len(one.Tries)-1].Code]++
-				if one.Wrong != "" {
-					t.Error(one.ID, one.Wrong)
+			tryRouted(t, name, 1, fleet.Fault{Name: "nothing", Planned: true, Run: func(park *fleet.Park, facts *fleet.Facts) {
+				park.Run(10 * time.Second)
+				answered, asked := fleet.RoutedRate(park, warmRouted, park.Now()-3*time.Second)
+				facts.Must(fmt.Sprintf("%d of %d are served", answered, asked), answered == asked && asked > 200)
+				read, kept := 0, 0
+				for _, engine := range park.Engines {
+					read += engine.ReadTokens
+					kept += engine.KeptTokens
+				}
+				facts.Must(fmt.Sprintf("of prompts, %d tokens are read and %d kept", read, kept), kept > read)
+			}, Judges: []string{"whole", "held", "routes", "routed home", "routed lost"}})
+		})
+	}
+}
+
+// TestRoutedFaults puts each fault into a fleet of each shape.
+func TestRoutedFaults(t *testing.T) {
+	for offset := uint64(0); offset < uint64(*seeds); offset++ {
+		for name := range fleet.RoutedShapes {
+			for index, fault := range fleet.RoutedFaults {
+				if testing.Short() && index%9 != 2 {
+					continue
 				}
+				seed := *first + offset
+				t.Run(fmt.Sprintf("%s/%s/%d", name, fault.Name, seed), func(t *testing.T) {
+					t.Parallel()
+					tryRouted(t, name, seed, fault)
+				})
 			}
-			read, kept := 0, 0
-			for _, engine := range park.Engines {
-				read += engine.ReadTokens
-				kept += engine.KeptTokens
+		}
+	}
+}
+
+// TestEveryRoutedCheckerCanFire shows each checker a history with one forbidden sight in
+// it; without that sight none of them says anything.
+func TestEveryRoutedCheckerCanFire(t *testing.T) {
+	park := fleet.NewPark(3, fleet.RoutedShapes["small"].Plan())
+	defer park.Close()
+	park.Run(warmRouted)
+	facts := park.BeginRouted()
+	facts.Planned = true
+	park.Run(6 * time.Second)
+	park.Quiet = true
+	park.Run(6500 * time.Millisecond)
+	broken, _ := fleet.CheckRouted(park, facts)
+	show(t, 3, broken)
+	// runOf gives a run of a crowd, and the request that it is of.
+	runOf := func(crowd string) (*fleet.Run, *fleet.RoutedRequest) {
+		for _, one := range park.RoutedRequests {
+			for _, run := range park.Runs {
+				if one.Crowd.Name == crowd && one.Verdict == "ok" && one.At > facts.From && run.ID == one.Tries[0].ID && run.Ran > 0 {
+					return run, one
+				}
 			}
-			t.Log(count, len(park.Runs), park.Steps, park.Dialled, read, kept, park.Strayed)
+		}
+		t.Fatalf("no run of %s", crowd)
+		return nil, nil
+	}
+	shown := map[string]bool{}
+	for name, forge := range map[string]func(facts *fleet.Facts) (undo func()){
+		"rerun": func(*fleet.Facts) func() {
+			run, _ := runOf("notice-north")
+			before := park.Runs
+			again := *run
+			park.Runs = append(append([]*fleet.Run{}, before...), &again)
+			return func() { park.Runs = before }
+		},
+		"promise": func(*fleet.Facts) func() {
+			_, one := runOf("notice-north")
+			before := *one.Tries[0]
+			one.Tries[0].Status = 503
+			return func() { *one.Tries[0] = before }
+		},
+		"whole": func(*fleet.Facts) func() {
+			_, one := runOf("check-south")
+			one.Got--
+			return func() { one.Got++ }
+		},
+		"held": func(*fleet.Facts) func() {
+			_, one := runOf("check-south")
+			before := one.End
+			one.End = 0
+			return func() { one.End = before }
+		},
+		"routes": func(*fleet.Facts) func() {
+			run, _ := runOf("moved-sea")
+			before := run.Model
+			run.Model = "scribe"
+			return func() { run.Model = before }
+		},
+		"routes/404": func(*fleet.Facts) func() {
+			_, one := runOf("moved-sea")
+			before := *one.Tries[0]
+			one.Tries[0].Status = 404
+			return func() { *one.Tries[0] = before }
+		},
+		"routes/acknowledged": func(facts *fleet.Facts) func() {
+			// An older configuration is handled by, though a newer one without routes to the
+			// model was acknowledged.
+			words := park.Shape.Routes()
+			delete(words, "moved")
+			tree, problems := settings.Parse([]byte(park.Shape.Document(words)))
+			if len(problems) > 0 {
+				t.Fatal(problems)
+			}
+			facts.Books = append(append([]fleet.Book{}, facts.Books...), fleet.Book{Asked: facts.From, Acked: facts.From, Tree: tree})
+			return func() {}
+		},
+		"routed leaving": func(*fleet.Facts) func() {
+			run, _ := runOf("check-south")
+			park.Learned[run.Engine+"/"+run.Life] = time.Millisecond
+			return func() { delete(park.Learned, run.Engine+"/"+run.Life) }
+		},
+		"cold": func(*fleet.Facts) func() {
+			for _, run := range park.Runs {
+				run.Cold = true
+			}
+			engine := park.Engines["e-north-1"]
+			before := engine.ColdRate
+			engine.ColdRate = -2
+			return func() {
+				engine.ColdRate = before
+				for _, run := range park.Runs {
+					run.Cold = false
+				}
+			}
+		},
+		"routed home": func(*fleet.Facts) func() {
+			run, _ := runOf("notice-north")
+			before := run.Engine
+			run.Engine = "e-south-1"
+			return func() { run.Engine = before }
+		},
+		"routed evacuated": func(facts *fleet.Facts) func() {
+			facts.Evacuated = []fleet.Evacuation{{Zone: "south-1", From: 0}}
+			return func() {}
+		},
+		"routed retries": func(*fleet.Facts) func() {
+			run, _ := runOf("check-south")
+			before := park.Runs
+			all := append([]*fleet.Run{}, before...)
+			for range 200 {
+				all = append(all, run)
+			}
+			park.Runs = all
+			return func() { park.Runs = before }
+		},
+		"routed lost": func(*fleet.Facts) func() {
+			_, one := runOf("check-south")
+			one.Tries[0].IsWhole = false
+			return func() { one.Tries[0].IsWhole = true }
+		},
+		"fallback": func(*fleet.Facts) func() {
+			before, lives := park.Adopted, park.Lives
+			last := before[len(before)-1]
+			park.Lives = append(append([]fleet.Life{}, lives...), fleet.Life{At: park.Now(), Daemon: last.Daemon, Least: last.Serial})
+			last.At, last.Serial = park.Now(), 0
+			park.Adopted = append(append([]fleet.Adopted{}, before...), last)
+			return func() { park.Adopted, park.Lives = before, lives }
+		},
+	} {
+		shown[strings.Split(name, "/")[0]] = true
+		t.Run(name, func(t *testing.T) {
+			rule, _, _ := strings.Cut(name, "/")
+			own := facts
+			undo := forge(&own)
+			defer undo()
+			broken, judged := fleet.CheckRouted(park, own)
+			if judged[rule] == 0 {
+				t.Errorf("the checker for %q judged nothing", rule)
+			}
+			for _, one := range broken {
+				if one.Rule == rule {
+					return
+				}
+			}
+			t.Errorf("the checker for %q did not fire", rule)
 		})
 	}
+	for _, rule := range fleet.RoutedRules {
+		if !shown[rule.Name] {
+			t.Errorf("nothing shows that the checker for %q can fire", rule.Name)
+		}
+	}
+}
+
+// TestLyingEngine: an event that is missing in the middle of a stream is seen.
+func TestLyingEngine(t *testing.T) {
+	plan := fleet.RoutedShapes["small"].Plan()
+	for at := range plan.Engines {
+		plan.Engines[at].Skips = 0.05
+	}
+	park := fleet.NewPark(4, plan)
+	defer park.Close()
+	park.Run(4 * time.Second)
+	broken, _ := fleet.CheckRouted(park, park.BeginRouted())
+	for _, one := range broken {
+		if one.Rule == "whole" {
+			return
+		}
+	}
+	t.Error("the checker for \"whole\" did not fire")
 }
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -68,7 +68,7 @@
 // Plan is the fleet of the shape, each region with one engine of the spare model beside
 // its own.
 func (shape RoutedShape) Plan() Plan {
-	plan := Plan{Model: mainModel, Lag: 500 * time.Millisecond, Least: 300 * time.Millisecond, Grace: 5 * time.Second, Document: shape.Document(shape.Routes())}
+	plan := Plan{Shape: shape, Model: mainModel, Lag: 500 * time.Millisecond, Least: 300 * time.Millisecond, Grace: 5 * time.Second, Document: shape.Document(shape.Routes())}
 	for at, region := range shape.Regions {
 		zone := region + "-1"
 		plan.Controls = append(plan.Controls, fmt.Sprintf("c%d:%s", at+1, zone))
@@ -82,11 +82,11 @@
 		busy := func(part float64) int { return max(1, int(part*shape.Busy*float64(shape.Engines[at]))) }
 		plan.Routed = append(plan.Routed,
 			RoutedCrowd{Name: "check-" + region, Zone: zone, Host: routedHost, Path: "/check/one", Workers: busy(1), Pause: 600 * time.Millisecond, Shared: 13300, Own: 3720, Groups: 6, Most: 48,
-				Patience: 10 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Repeatable: true, Resume: true, Tries: 2},
+				Patience: 4 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Repeatable: true, Resume: true, Tries: 2},
 			RoutedCrowd{Name: "notice-" + region, Zone: zone, Host: routedHost, Path: "/notice/one", Workers: busy(0.5), Pause: 800 * time.Millisecond, Own: 383, Most: 120,
-				Patience: 8 * time.Second, Target: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2},
+				Patience: 4 * time.Second, Target: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2},
 			RoutedCrowd{Name: "moved-" + region, Zone: zone, Host: routedHost, Path: "/moved/one", Workers: 1, Pause: 200 * time.Millisecond, Own: 200, Most: 8,
-				Patience: 8 * time.Second, Target: 800 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2})
+				Patience: 4 * time.Second, Target: 800 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2})
 	}
 	return plan
 }
--- a/fleet/seen.go
+++ b/fleet/seen.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"sort"
+	"strings"
 	"time"
 
 	"swifttiller/permit"
@@ -32,6 +33,8 @@
 	adopted map[string]Adopted
 	highest uint64
 	frozen  map[string]Life
+	// marks are those of contents that were looked at, which is done often.
+	marks map[string]uint64
 }
 
 // Arrival is a request that reached a replica, taken or not. Sent is when the
@@ -80,7 +83,7 @@
 }
 
 func newSeen() Seen {
-	return Seen{Learned: map[string]time.Duration{}, marked: map[string]string{}, adopted: map[string]Adopted{}, frozen: map[string]Life{}}
+	return Seen{Learned: map[string]time.Duration{}, marked: map[string]string{}, adopted: map[string]Adopted{}, frozen: map[string]Life{}, marks: map[string]uint64{}}
 }
 
 // mark is a hash of a configuration's contents.
@@ -95,6 +98,17 @@
 	return sum.Sum64()
 }
 
+// mark is that of the contents, kept for the next time.
+func (seen *Seen) mark(config permit.Config) uint64 {
+	key := string(config.Document) + "|" + strings.Join(config.Evacuated, "|")
+	out, isKnown := seen.marks[key]
+	if !isKnown {
+		out = mark(config)
+		seen.marks[key] = out
+	}
+	return out
+}
+
 func (park *Park) learnLeaving(id, boot string) {
 	if _, known := park.Learned[id+"/"+boot]; !known {
 		park.Learned[id+"/"+boot] = park.Now()
@@ -165,10 +179,10 @@
 	}
 	key := name + "#" + life
 	have := park.adopted[key]
-	if serial == have.Serial && (serial == 0 || mark(config) == have.Mark) {
+	if serial == have.Serial && (serial == 0 || park.mark(config) == have.Mark) {
 		return
 	}
-	now := Adopted{At: park.Now(), Daemon: name, Life: life, Serial: serial, Mark: mark(config)}
+	now := Adopted{At: park.Now(), Daemon: name, Life: life, Serial: serial, Mark: park.mark(config)}
 	park.adopted[key] = now
 	park.Adopted = append(park.Adopted, now)
 	park.highest = max(park.highest, serial)
