--- a/replica/relay.go
+++ b/replica/relay.go
@@ -270,17 +270,18 @@
 			return cut("replica_cut", err)
 		}
 		head := relay.Dialect.Read(ask, answer)
+		stream, hasBody := answer.BodyStream(), true
+		if stream == nil || answer.Header.ContentLength() == 0 {
+			stream, hasBody = bytes.NewReader(nil), false
+		}
 		if head.Foreign {
 			// A second answer to an earlier request, in the place of this one's.
-			if _, err := io.Copy(io.Discard, answer.BodyStream()); err != nil || passed >= 2 {
+			if _, err := io.Copy(io.Discard, stream); err != nil || passed >= 2 {
 				return cut("replica_garbled", err)
 			}
 			continue
 		}
-		body := &reading{events: head.Events, keep: head.Keep, relay: relay, line: one, answer: answer, ask: ask, expiry: expiry, body: answer.BodyStream(), closing: answer.ConnectionClose()}
-		if body.body == nil {
-			body.body = bytes.NewReader(nil)
-		}
+		body := &reading{events: head.Events, keep: head.Keep, relay: relay, line: one, answer: answer, ask: ask, expiry: expiry, body: stream, ended: !hasBody, closing: answer.ConnectionClose()}
 		out := &Answer{Head: head, Header: &answer.Header, Length: answer.Header.ContentLength(), Source: body}
 		if head.Unsound != "" {
 			out.Close()
