A benchmark of one routed decision among 90 replicas

Cause: the decision's cost had no figure. Ruled out: reading it off the profile of a whole daemon, as sockets hide it.

--- /dev/null
+++ b/decide/route_bench_test.go
@@ -0,0 +1,71 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"swifttiller/decide"
+	"swifttiller/loop"
+	"swifttiller/permit"
+	"swifttiller/session"
+	"swifttiller/settings"
+	"swifttiller/standing"
+)
+
+// routedView is what a daemon goes by that may send to many replicas: in three regions,
+// half of them in the first, with one route for all.
+func routedView(replicas int) *permit.View {
+	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":64}}},
+ "engines":{"m":{"probe_path":"/vitals","cold_ms":3000,"cold_per_s":26,"berths":64,"cache_tokens":348621,"spacing":4}},
+ "routes":[{"name":"r","host":"h.example","prefix":"/x/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"tries":2,"resume":true,"shares":[{"model":"m","weight":1}]}],
+ "regions":{"a":{"zones":{"a-1":{}}},"b":{"zones":{"b-1":{}}},"c":{"zones":{"c-1":{}}}}}`))
+	if len(problems) > 0 {
+		panic(problems)
+	}
+	out := &permit.View{Serial: 3, Tree: tree, Expiry: loop.Forever, Evacuated: map[string]bool{}, Standings: map[string]standing.Standing{}}
+	for index := range replicas {
+		region := []string{"a", "a", "a", "b", "b", "c"}[index%6]
+		id := fmt.Sprintf("i-%d", index)
+		one := out.Standings[region]
+		one.Region = region
+		one.Places = append(one.Places, standing.Place{ID: id, Address: id, Zone: region + "-1", Region: region, Boot: id, Capacity: 64, Whole: 64, Warm: 1, Credits: map[string]int{"x": 64}})
+		one.Rows = append(one.Rows, standing.Row{Replica: id, Model: "m", Version: "v1"})
+		out.Standings[region] = one
+	}
+	for index := range 8 {
+		out.Members = append(out.Members, session.Member{Name: fmt.Sprint("d", index), Role: session.Data, Region: "a", Zone: "a-1", Door: "x"})
+	}
+	return out
+}
+
+// BenchmarkRoute is one decision about a request with a shared part, and its end, among
+// 90 replicas that this daemon knows from other requests.
+func BenchmarkRoute(b *testing.B) {
+	view := routedView(90)
+	world := loop.NewMachine()
+	decider := decide.New(decide.Options{World: world, Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}, Began: world.Now()})
+	number := 0
+	one := func() {
+		number++
+		routed := &decide.Routed{ID: "r", Host: "h.example", Path: "/x/y", Tokens: 17020, Most: 48, Bytes: 68000, Expiry: world.Now() + time.Minute,
+			Parts: []decide.Part{{ID: uint64(1 + number%12), Tokens: 13300}, {ID: uint64(1000 + number), Tokens: 3720}}}
+		if mishap := decider.Direct(routed); mishap != nil {
+			b.Fatal(mishap.Code)
+		}
+		selection, mishap := decider.Route(routed, nil)
+		if mishap != nil {
+			b.Fatal(mishap.Code)
+		}
+		decider.Heard(selection, &decide.Load{Running: 3, Slots: 64})
+		decider.Begun(selection, true)
+		decider.Unseat(selection, nil, time.Millisecond)
+	}
+	for range 2000 {
+		one()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		one()
+	}
+}
