--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -6,6 +6,8 @@
 	"os"
 	"time"
 
+	"github.com/gofiber/fiber/v2"
+
 	"swifttiller/controlplane"
 	"swifttiller/disk"
 	"swifttiller/listing"
@@ -40,14 +42,14 @@
 	if err != nil {
 		return serve.Daemon{}, err
 	}
-	var more []serve.Endpoint
+	var more map[string]*fiber.App
 	if isDeployed {
 		if more, err = platform.Desks(daemon); err != nil {
 			return serve.Daemon{}, err
 		}
 	}
 	stop := func(time.Duration) bool { daemon.Stop(); return true }
-	return serve.Daemon{More: more, Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: stop, Closed: closed}, nil
+	return serve.Daemon{Apps: more, Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: stop, Closed: closed}, nil
 }
 
 func main() {
--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"github.com/gofiber/fiber/v2"
+
 	"swifttiller/dataplane"
 	"swifttiller/platform"
 	"swifttiller/replica"
@@ -24,7 +26,7 @@
 		options.Relayer = &replica.Relay{World: process.World, Dialect: platform.Dialect{}}
 	}
 	daemon := dataplane.New(options)
-	var more []serve.Endpoint
+	var more map[string]*fiber.App
 	if isDeployed {
 		var err error
 		if more, err = platform.Doors(daemon); err != nil {
@@ -32,7 +34,7 @@
 		}
 	}
 	return serve.Daemon{
-		More: more,
+		Apps:     more,
 		Services: daemon.Services(), App: daemon.App(), Run: daemon.Run, Stop: daemon.Stop,
 		Closed: func() { _ = switched.To("") }, Retrace: switched.To,
 	}, nil
--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -90,6 +90,7 @@
 		acceptor.Moved = daemon.Learn
 		daemon.Acceptor = acceptor
 		identity = acceptor.ID()
+		daemon.Keeper.Own = identity
 		var about register.About
 		_ = acceptor.Describe(struct{}{}, &about)
 		daemon.Learn(about.Core)
@@ -268,6 +269,9 @@
 		if turn++; daemon.Core().Epoch == 0 || turn%8 == 0 {
 			daemon.Discover(daemon.Live.Seeds())
 		}
+		if daemon.Process.First && daemon.Acceptor != nil && daemon.Core().Epoch == 0 {
+			_, _ = daemon.Init(daemon.Live.Seeds())
+		}
 		return !daemon.stopped.Load()
 	})
 }
--- a/controlplane/http.go
+++ b/controlplane/http.go
@@ -13,7 +13,7 @@
 
 // fail answers with a mishap.
 func fail(ctx *fiber.Ctx, err error) error {
-	mishap := answer(err)
+	mishap := Answer(err)
 	if mishap.ComeBack > 0 {
 		ctx.Set("Retry-After", strconv.Itoa(int((mishap.ComeBack+time.Second-1)/time.Second)))
 	}
@@ -75,6 +75,14 @@
 			expect = &serial
 		}
 		document := append([]byte{}, ctx.Body()...) // the body is the library's
+		if text := ctx.Query("expect_label"); text != "" {
+			label, err := strconv.ParseUint(text, 10, 64)
+			if err != nil || expect != nil {
+				return fail(ctx, verdict.Decline(400, "bad_request", "expect_label must be a label, and stand without expect", 0))
+			}
+			applied, err := daemon.Replace(document, label)
+			return reply(ctx, applied, err)
+		}
 		applied, err := daemon.Apply(document, expect, ctx.QueryBool("dry_run"))
 		return reply(ctx, applied, err)
 	})
@@ -122,6 +130,24 @@
 		runs, err := daemon.Handover(ask.ID, ask.Model, ask.Version, ask.Regions)
 		return reply(ctx, runs, err)
 	})
+	app.Post("/v1/rollouts", func(ctx *fiber.Ctx) error {
+		var ask struct {
+			Model, Version string
+			Over           float64 `json:"over_s"`
+		}
+		if err := json.Unmarshal(ctx.Body(), &ask); err != nil {
+			return fail(ctx, verdict.Decline(400, "bad_request", err.Error(), 0))
+		}
+		if err := daemon.BeginRollout(ask.Model, ask.Version, time.Duration(ask.Over*float64(time.Second))); err != nil {
+			return fail(ctx, err)
+		}
+		state, err := daemon.RolloutState(ask.Model)
+		return reply(ctx, state, err)
+	})
+	app.Get("/v1/rollouts/:model", func(ctx *fiber.Ctx) error {
+		state, err := daemon.RolloutState(string([]byte(ctx.Params("model"))))
+		return reply(ctx, state, err)
+	})
 	app.Post("/v1/handovers/:model/rollback", func(ctx *fiber.Ctx) error {
 		model, err := daemon.Objects.Rollback(string([]byte(ctx.Params("model"))), words(string([]byte(ctx.Query("regions")))), daemon.standby())
 		return reply(ctx, model, err)
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/workflow"
 )
 
 // watched is a replica as this daemon's probes have seen it.
@@ -62,6 +64,9 @@
 	// wrote it, under the duty.
 	proved time.Duration
 	routes map[string]standing.Route // as last read
+	// idle are models about which there is no run, nor ever was one, nor can be by
+	// itself, as last read.
+	idle   map[string]bool
 	runner *rollout.Runner
 	failed string
 	// evacuated are the zones that were, when the table was last read.
@@ -113,7 +118,7 @@
 			region.table = map[string]*watched{}
 			region.runner = nil
 		} else if region.duty != serial {
-			region.duty, region.seeded, region.before = serial, false, nil
+			region.duty, region.seeded, region.before, region.idle = serial, false, nil, nil
 			region.runner, region.since, region.listAt = nil, region.World.Now(), 0
 		}
 		region.guard.Unlock()
@@ -162,6 +167,9 @@
 			have.probed = false
 			region.table[one.ID] = have
 		}
+		if one.Leaving && !have.leaving {
+			region.Log.Info("a replica is leaving", zap.String("region", region.name), zap.String("replica", one.ID))
+		}
 		have.Listed = one
 		have.unlisted = false
 		have.leaving = have.leaving || one.Leaving
@@ -233,8 +241,15 @@
 			Leaving: one.leaving || one.unlisted, Alive: one.probed && now-one.answered < dark,
 			Boot: one.vitals.Boot, Held: one.vitals.Held, Load: one.vitals.Load, Cold: now < one.coldUntil,
 		}
+		if one.Version != "" {
+			row.Held = maps.Clone(row.Held)
+			if row.Held == nil {
+				row.Held = map[string]string{}
+			}
+			row.Held[one.Model+"/"+one.Version] = standing.Ready
+		}
 		if one.engine(tree) != nil {
-			row.Boot, row.Held = one.ID, map[string]string{one.Model + "/" + one.Version: standing.Ready}
+			row.Boot = one.ID
 		}
 		out = append(out, row)
 	}
@@ -254,14 +269,23 @@
 
 // restore fills the table with the names of the last standing, so that a new
 // holder of the duty does not take a region for empty while the platform lags.
-// What the replicas hold, and in which life, only probes can say.
+// In which life the replicas are, and what they hold where that is ordered, only probes
+// can say.
 func (region *region) restore(last standing.Standing) {
 	now := region.World.Now()
 	region.guard.Lock()
 	defer region.guard.Unlock()
+	tree := region.tree()
 	for _, place := range last.Places {
 		if region.table[place.ID] == nil {
-			region.table[place.ID] = &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
+			one := &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
+			for _, row := range last.Rows {
+				// Whatever version it holds it holds for all of its life.
+				if placement, _ := tree.Placement(row.Model, place.Zone); row.Replica == place.ID && placement.Any() {
+					one.Model, one.Version = row.Model, row.Version
+				}
+			}
+			region.table[place.ID] = one
 		}
 	}
 	if len(last.Places) > 0 {
@@ -278,7 +302,7 @@
 	models := tree.Models(region.name)
 	keys := []string{permit.StandingPrefix + region.name}
 	for _, model := range models {
-		keys = append(keys, rollout.ModelPrefix+model)
+		keys = append(keys, rollout.ModelPrefix+model, rollout.DelayedPrefix+model, workflow.Prefix+rollout.Key(model, region.name))
 	}
 	values, err := region.ReadMany(keys...)
 	if err != nil {
@@ -315,8 +339,14 @@
 			}
 		}
 	}
+	idle := map[string]bool{}
+	for _, model := range models {
+		placement, _ := tree.Placement(model, region.name)
+		idle[model] = placement.Any() && values[rollout.ModelPrefix+model].Serial == 0 && values[rollout.DelayedPrefix+model].Serial == 0 &&
+			values[workflow.Prefix+rollout.Key(model, region.name)].Serial == 0
+	}
 	region.guard.Lock()
-	region.routes = input.Routes
+	region.routes, region.idle = input.Routes, idle
 	region.guard.Unlock()
 	next := standing.Compute(input)
 	if before.Serial > 0 && standing.Same(*before, next) {
@@ -340,6 +370,7 @@
 		return
 	}
 	next.Serial = value.Serial
+	region.Log.Info("a standing was written", zap.String("region", region.name), zap.Uint64("serial", next.Serial), zap.Strings("replicas", next.Shown()), zap.Duration("took", region.World.Now()-now))
 	region.keep(serial, &next, now, now)
 }
 
@@ -395,13 +426,13 @@
 	if region.runner == nil {
 		region.runner = &rollout.Runner{World: region.World, Objects: region.Objects, Book: region.Book, Client: region.Replicas, Point: region.Point}
 	}
-	runner, seeded, routes := region.runner, region.seeded, region.routes
+	runner, seeded, routes, before, idle := region.runner, region.seeded, region.routes, region.before, region.idle
 	region.guard.Unlock()
 	if !seeded || region.unprobed(tree) {
 		return
 	}
 	_, whole, _ := region.Office.Current()
-	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes}
+	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes, Standing: before, Watched: region.Table.Watched(), Idle: idle}
 	scene.Daemons, scene.Incarnations = region.daemons()
 	for _, zone := range whole.Evacuated {
 		scene.Evacuated[zone] = true
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,8 +3,10 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -50,13 +52,17 @@
 	Trial, Spill, Affine      bool
 	// Foreseen is the time to the first piece that a routed request was sent for.
 	Foreseen time.Duration
-	call     *Call
 
 	routed   *Routed
 	seat     *engine
 	unread   int
 	sent     time.Duration
 	hasBegun bool
+	// Allowance is what is known beforehand to pass before the first piece on top of
+	// what is usual, such as the reading of what the replica does not keep; it is held
+	// against nobody.
+	Allowance time.Duration
+	call      *Call
 }
 
 // Options of a decider.
@@ -118,6 +124,9 @@
 	// readRate is how fast they read prompts, zero until learned.
 	engines  map[string]*engine
 	readRate float64
+	// readersBy are the replicas for long prompts, by model, as of the view readersOf.
+	readersOf *permit.View
+	readersBy map[string]map[string]bool
 }
 
 // Counts are what operators watch.
@@ -261,7 +270,8 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	// A stop lets in what was allowed before it; a lost permit does not.
-	if !view.Stands(decider.World.Now()) {
+	stands := view.Stands(decider.World.Now()) || selection.routed != nil && view.Serves(decider.World.Now())
+	if !stands {
 		return 0, decider.decline(503, "no_permit", "the permit ran out before the dispatch", time.Second)
 	}
 	if row, _ := find(view, selection); row == nil {
@@ -518,6 +528,11 @@
 		if len(group) == 0 {
 			return candidate{}, false, false
 		}
+		if group[0].row.Trial && decider.holdsAny(view, call.Model) {
+			return slices.MaxFunc(group, func(a, b candidate) int {
+				return cmp.Compare(trialRank(a.row.Model, a.row.Version, a.row.Replica), trialRank(b.row.Model, b.row.Version, b.row.Replica))
+			}), false, true
+		}
 		sort.Slice(group, func(a, b int) bool {
 			x, y := score(call.Prefix, group[a].row.Replica), score(call.Prefix, group[b].row.Replica)
 			return x > y || x == y && group[a].row.Version < group[b].row.Version
@@ -546,6 +561,12 @@
 		}
 	}
 	selection := &Selection{Replica: one.row.Replica, Address: one.place.Address, Version: one.row.Version, Boot: one.place.Boot, Region: one.place.Region, Serial: view.Serial, Cost: cost, Trial: one.row.Trial, Spill: !one.home, Affine: affine, call: call}
+	decider.dispatched(view, selection)
+	return selection
+}
+
+// dispatched counts a selection that is about to be given out.
+func (decider *Decider) dispatched(view *permit.View, selection *Selection) {
 	decider.occupy(selection, 1)
 	decider.counts.Dispatches++
 	decider.accrue(view, selection)
@@ -556,10 +577,9 @@
 	if selection.Spill {
 		decider.counts.Spilled++
 	}
-	if affine {
+	if selection.Affine {
 		decider.counts.Affine++
 	}
-	return selection
 }
 
 // score is the rendezvous weight of a prompt's beginning at a replica.
@@ -609,9 +629,12 @@
 	switch {
 	case mishap == nil:
 		outcome.OK, outcome.Least = 1, first
-		if first > decider.overdue(selection) {
+		if first > selection.Allowance+decider.overdue(selection) {
 			outcome.Late = 1
 		}
+		if decider.slow(selection, first-selection.Allowance) {
+			outcome.Slow = 1
+		}
 	case mishap.Code == "caller_gone" && !decider.late(selection, now) || mishap.Code == "no_permit" || mishap.Code == "moved_on" || mishap.Code == "replica_rejected":
 		// Says nothing about the replica.
 	case mishap.Code == replica.AnewCode:
@@ -630,8 +653,8 @@
 		decider.refund(decider.Holder(), selection)
 	}
 	delete(decider.judging.waiting, selection)
-	if outcome.OK > 0 && outcome.Late == 0 {
-		decider.learn(selection, first)
+	if outcome.OK > 0 && outcome.Late == 0 && !(selection.Trial && outcome.Slow > 0) {
+		decider.learn(selection, max(0, first-selection.Allowance))
 	}
 	decider.occupy(selection, -1)
 	decider.flow(decider.released, selection.call.Model).add(now, float64(selection.Cost))
@@ -716,12 +739,25 @@
 	view := decider.Holder()
 	report := standing.Report{
 		Config: view.Serial, Standing: map[string]uint64{}, Permit: view.Expiry - now, Demand: map[string]float64{}, Overflow: map[string]float64{},
-		InFlight: map[string]int{}, Streams: map[standing.Held]int{}, Recent: ordered(decider.recent(now)), Total: ordered(decider.totals(now)), Queue: len(decider.queue),
+		InFlight: map[string]int{}, Streams: map[standing.Held]int{}, Queue: len(decider.queue),
 		Demanded: decider.counts.Demanded, Retries: decider.counts.Retries, Allowed: decider.counts.Allowed + decider.counts.Redispatches, Declined: map[string]uint64{},
 	}
 	for region, one := range view.Standings {
 		report.Standing[region] = one.Serial
 	}
+	isSteady := steady(view)
+	for _, one := range ordered(decider.recent(now)) {
+		if isSteady(one.Model) && one.Mishaps+one.Unreached+one.Late == 0 {
+			report.Near = append(report.Near, one)
+		} else {
+			report.Recent = append(report.Recent, one)
+		}
+	}
+	for _, one := range ordered(decider.totals(now)) {
+		if !isSteady(one.Model) {
+			report.Total = append(report.Total, one)
+		}
+	}
 	for code, count := range decider.counts.Declined {
 		report.Declined[code] = count
 	}
@@ -744,11 +780,15 @@
 	held := map[string]float64{}
 	away := map[string]float64{}
 	for name, used := range decider.uses {
-		report.InFlight[name] = used.units
-		all := 0
-		for _, count := range used.rows {
+		all, areSteady := 0, len(used.rows) > 0
+		for row, count := range used.rows {
 			all += count
+			areSteady = areSteady && isSteady(row.Model)
+		}
+		if areSteady {
+			continue
 		}
+		report.InFlight[name] = used.units
 		for row, count := range used.rows {
 			report.Streams[row] = count
 			units := float64(used.units) * float64(count) / float64(all)
@@ -762,6 +802,9 @@
 		held[one.model] += float64(one.cost)
 	}
 	for model, flow := range decider.demand {
+		if isSteady(model) {
+			continue
+		}
 		// What it holds now, and what comes within a queue's time.
 		report.Demand[model] = held[model] + flow.rate(now)*0.25
 		if lack := held[model] - local[model]; lack > 0 {
@@ -776,6 +819,39 @@
 	return report
 }
 
+// steady tells which models need no more than a word on mishaps: nobody deals their
+// credits, as they have an engine, and no run can be about them, as replicas hold what
+// they will; and all hold the same version.
+func steady(view *permit.View) func(model string) bool {
+	if view.Tree == nil {
+		return func(string) bool { return false }
+	}
+	versions := map[string]string{}
+	unsteady := map[string]bool{}
+	for _, one := range view.Standings {
+		for _, row := range one.Rows {
+			if version, known := versions[row.Model]; known && version != row.Version || row.Trial || row.Back {
+				unsteady[row.Model] = true
+			}
+			versions[row.Model] = row.Version
+		}
+	}
+	known := map[string]bool{}
+	return func(model string) bool {
+		isSteady, isKnown := known[model]
+		if !isKnown {
+			isSteady = view.Tree.Engine(model) != nil && !unsteady[model]
+			for _, region := range view.Tree.Regions() {
+				if placement, placed := view.Tree.Placement(model, region); placed && !placement.Any() {
+					isSteady = false
+				}
+			}
+			known[model] = isSteady
+		}
+		return isSteady
+	}
+}
+
 func (decider *Decider) flow(table map[string]*flow, model string) *flow {
 	one := table[model]
 	if one == nil {
