--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -84,9 +84,11 @@
 	// Gone is when this life ended.
 	Gone      time.Duration
 	ColdUntil time.Duration
-	// ReadTokens are all that it read, KeptTokens those that it did not have to.
-	ReadTokens, KeptTokens int
-	PutBack                int
+	// ReadTokens are all that it read, KeptTokens those that it did not have to. AgainTokens
+	// are those that it read though some engine of the model had read them before.
+	ReadTokens, KeptTokens, AgainTokens int
+	// PutBack counts requests that lost their place while they ran.
+	PutBack int
 
 	park     *Park
 	node     *sim.Node
@@ -100,6 +102,12 @@
 	taken    uint64
 }
 
+// readKey is a part of prompts that an engine of a model has read.
+type readKey struct {
+	model string
+	part  uint64
+}
+
 type keptPart struct {
 	id            uint64
 	tokens, users int
@@ -371,6 +379,12 @@
 			todo = append(todo, part)
 			unread += part.Tokens
 		}
+		fresh := unread
+		for _, part := range todo {
+			if key := (readKey{engine.Model, part.ID}); engine.park.everRead[key] {
+				fresh -= part.Tokens
+			}
+		}
 		// What it made before it was put back is read as well.
 		again := one.made - one.from
 		if again > 0 {
@@ -390,6 +404,12 @@
 		engine.active = append(engine.active, one)
 		engine.memory += unread + again
 		one.pinned, one.todo, one.reserved, one.ready = pinned, todo, unread, 0
+		for _, part := range todo {
+			if part.ID != 0 {
+				engine.park.everRead[readKey{engine.Model, part.ID}] = true
+			}
+		}
+		engine.AgainTokens += unread - fresh + again
 		one.run.Read += unread + again
 		engine.ReadTokens += unread + again
 		engine.KeptTokens += one.run.Prompt - unread
--- /dev/null
+++ b/fleet/experiment.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"swifttiller/settings"
+)
+
+// ExperimentOptions are a load and a fleet that plays it in virtual time.
+type ExperimentOptions struct {
+	// Shape names one of RoutedShapes; Load multiplies its callers.
+	Shape string
+	Load  float64
+	Seed  uint64
+	// Warm is played before anything is measured, Span is measured.
+	Warm, Span time.Duration
+	// Limits are the document's, by name.
+	Limits map[string]float64
+}
+
+// Quantiles of spans, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P90 float64 `json:"p90_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+// Figures are what an experiment measured, of requests that began in its span.
+type Figures struct {
+	Asked    int `json:"asked"`
+	Answered int `json:"answered"`
+	// First is the time from a caller's first try to its first event, Pause the longest
+	// one between two events of a request, both by kind.
+	First map[string]Quantiles `json:"first"`
+	Pause map[string]Quantiles `json:"pause"`
+	// InTime is the share of requests whose first event came within the aim and whose
+	// pauses all were in time.
+	InTime float64 `json:"in_time"`
+	// KeptShare is the share of prompt tokens that were not read as they were kept, and
+	// Again the tokens a request that were read though some replica had read them.
+	KeptShare float64 `json:"kept_share"`
+	Again     float64 `json:"read_again_tokens_per_request"`
+	// FarKB are the kilobytes a request between regions, FarShare the share of dispatches
+	// that went to another region.
+	FarKB    float64 `json:"far_kb_per_request"`
+	FarShare float64 `json:"far_share"`
+	// Dispatches are those a request.
+	Dispatches float64 `json:"dispatches_per_request"`
+	// Firsts are all times to the first event, in order, in milliseconds.
+	Firsts []float64 `json:"-"`
+}
+
+// Check finds what is wrong with the options.
+func (options ExperimentOptions) Check() error {
+	shape, isKnown := RoutedShapes[options.Shape]
+	switch {
+	case !isKnown:
+		return fmt.Errorf("shape %q is none of %s", options.Shape, strings.Join(slices.Sorted(maps.Keys(RoutedShapes)), ", "))
+	case options.Load <= 0 || options.Load > 50:
+		return fmt.Errorf("load %v is not above 0 and up to 50", options.Load)
+	case options.Warm < time.Second || options.Warm > 10*time.Minute:
+		return fmt.Errorf("warm %v is not within 1s to 10m", options.Warm)
+	case options.Span < time.Second || options.Span > 10*time.Minute:
+		return fmt.Errorf("span %v is not within 1s to 10m", options.Span)
+	}
+	for _, name := range slices.Sorted(maps.Keys(options.Limits)) {
+		if _, isKnown := settings.Limits[name]; !isKnown {
+			return fmt.Errorf("setting %q is no limit", name)
+		}
+	}
+	shape.Limits = options.Limits
+	if _, problems := settings.Parse([]byte(shape.Document(shape.Routes()))); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
+// Experiment plays the load and measures it.
+func Experiment(options ExperimentOptions) (Figures, error) {
+	if err := options.Check(); err != nil {
+		return Figures{}, err
+	}
+	shape := RoutedShapes[options.Shape]
+	shape.Limits = options.Limits
+	shape.Busy *= options.Load
+	park := NewPark(options.Seed, shape.Plan())
+	defer park.Close()
+	park.Run(options.Warm)
+	from := park.Now()
+	type sums struct{ read, kept, again, far int }
+	sum := func() (out sums) {
+		for _, engine := range park.engines() {
+			out.read += engine.ReadTokens
+			out.kept += engine.KeptTokens
+			out.again += engine.AgainTokens
+		}
+		out.far = park.FarBytes
+		return out
+	}
+	before, runsBefore := sum(), len(park.Runs)
+	park.Run(options.Span)
+	after, runs := sum(), park.Runs[runsBefore:]
+	until := park.Now()
+	park.Quiet = true
+	park.Run(5 * time.Second)
+
+	out := Figures{First: map[string]Quantiles{}, Pause: map[string]Quantiles{}}
+	firsts, pauses := map[string][]float64{}, map[string][]float64{}
+	inTime := 0
+	for _, one := range park.RoutedRequests {
+		if one.At < from || one.At >= until {
+			continue
+		}
+		out.Asked++
+		if one.Verdict != "ok" {
+			continue
+		}
+		out.Answered++
+		kind, _, _ := strings.Cut(one.Crowd.Name, "-")
+		first := float64(one.First-one.At) / float64(time.Millisecond)
+		firsts[kind] = append(firsts[kind], first)
+		pauses[kind] = append(pauses[kind], float64(one.Pause)/float64(time.Millisecond))
+		out.Firsts = append(out.Firsts, first)
+		if one.First-one.At <= one.Crowd.Target && one.Pause <= one.Crowd.Gap {
+			inTime++
+		}
+	}
+	sort.Float64s(out.Firsts)
+	for kind, list := range firsts {
+		out.First[kind], out.Pause[kind] = quantiles(list), quantiles(pauses[kind])
+	}
+	requests := float64(max(1, out.Asked))
+	out.InTime = float64(inTime) / requests
+	read, kept := after.read-before.read, after.kept-before.kept
+	out.KeptShare = float64(kept) / float64(max(1, read+kept))
+	out.Again = float64(after.again-before.again) / requests
+	out.FarKB = float64(after.far-before.far) / 1000 / requests
+	far := 0
+	for _, run := range runs {
+		if Region(park.zones[run.Daemon]) != Region(park.zones[run.Engine]) {
+			far++
+		}
+	}
+	out.FarShare = float64(far) / float64(max(1, len(runs)))
+	out.Dispatches = float64(len(runs)) / requests
+	return out, nil
+}
+
+func quantiles(list []float64) Quantiles {
+	sort.Float64s(list)
+	at := func(share float64) float64 { return list[min(len(list)-1, int(share*float64(len(list))))] }
+	return Quantiles{at(0.5), at(0.9), at(0.99)}
+}
--- a/fleet/faultsrouted.go
+++ b/fleet/faultsrouted.go
@@ -220,7 +220,7 @@
 		facts.Need("apply", park.ApplyRoutes(facts, words))
 		park.Run(5 * time.Second)
 		park.Split([]string{name}, park.controls(), false)
-	}, []string{"routes", "promise"}},
+	}, []string{"routes"}},
 	{"evacuation and return", true, func(park *Park, facts *Facts) {
 		zone := park.Plan.Engines[0].Zone
 		facts.Need("evacuate", park.Evacuate(facts, zone, false))
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -108,7 +108,12 @@
 	// Fallen cold engines that were sent too much, Strayed orders that engines got.
 	Dialled, Repeated, Fallen, Strayed int
 
+	// FarBytes went between a daemon and an engine of another region, FarPrompt of them
+	// with prompts.
+	FarBytes, FarPrompt int
+
 	pastEngines []*Engine
+	everRead    map[readKey]bool
 	hops        map[string][]*hop  // by engine and by data daemon
 	links       map[string][]*link // by data daemon
 	askedOf     map[string]asked
@@ -152,6 +157,7 @@
 func NewBarePark(seed uint64, plan Plan) *Park {
 	park := &Park{Sim: sim.New(seed), Plan: plan, Controls: map[string]*controlplane.Daemon{}, Datas: map[string]*dataplane.Daemon{}, Replicas: map[string]*Replica{}, Troubles: map[string]error{}, Seen: newSeen(), byID: map[string]*Request{}, lanes: map[laneKey]kept{}, Spoilt: map[string]bool{}, closed: map[string]bool{}, zones: map[string]string{}, streams: map[string][]*simStream{}}
 	park.Engines, park.hops, park.links, park.askedOf, park.tried = map[string]*Engine{}, map[string][]*hop{}, map[string][]*link{}, map[string]asked{}, map[string]*RoutedTry{}
+	park.everRead = map[readKey]bool{}
 	park.Listed = &Register{park: park, asked: map[string]time.Duration{}}
 	park.Platform = NewPlatform(park.Now, plan.Lag, plan.Least)
 	park.watch()
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -166,6 +166,12 @@
 		hop.engine, hop.one = engine, one
 		engine.arrive(run, one)
 	})
+	if hop.isFar() {
+		for _, part := range asked.parts {
+			park.FarBytes += tokenBytes * part.Tokens
+			park.FarPrompt += tokenBytes * part.Tokens
+		}
+	}
 	cut := func(code string) (*replica.Answer, *verdict.Mishap) {
 		if ask.Bind != nil {
 			ask.Bind(nil)
@@ -243,9 +249,20 @@
 		hop.isEnded, hop.closes = true, hop.closes || piece.closing
 		return nil, io.EOF
 	}
+	if hop.isFar() {
+		hop.park.FarBytes += len(piece.event)
+	}
 	return piece.event, nil
 }
 
+// tokenBytes are those of a prompt's token in a request's body.
+const tokenBytes = 4
+
+// isFar tells whether it goes to another region.
+func (hop *hop) isFar() bool {
+	return Region(hop.park.zones[hop.from.Name]) != Region(hop.park.zones[hop.to])
+}
+
 // Close ends it; the connection is kept only after a clean end.
 func (hop *hop) Close() {
 	if hop.ask.Bind != nil {
--- a/fleet/routed.go
+++ b/fleet/routed.go
@@ -316,7 +316,7 @@
 		for _, part := range ask.parts {
 			routed.Tokens += part.Tokens
 		}
-		routed.Bytes = 4 * routed.Tokens
+		routed.Bytes = tokenBytes * routed.Tokens
 		serveRouted(park.Datas[name], routed, replica.Ask{Method: []byte("POST"), Host: []byte(crowd.Host), URI: []byte(crowd.Path), After: after}, leaver, send)
 	})
 	silence := max(leastSilence, targetSilence*crowd.Target, gapSilence*crowd.Gap)
--- a/fleet/routed_test.go
+++ b/fleet/routed_test.go
@@ -59,6 +59,7 @@
 				park.Run(10 * time.Second)
 				answered, asked := fleet.RoutedRate(park, warmRouted, park.Now()-3*time.Second)
 				facts.Must(fmt.Sprintf("%d of %d are served", answered, asked), answered == asked && asked > 200)
+				facts.Must("engines get no orders", park.Strayed == 0)
 				read, kept := 0, 0
 				for _, engine := range park.Engines {
 					read += engine.ReadTokens
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -16,8 +18,13 @@
 	Busy float64
 	// Reports makes engines tell their load.
 	Reports bool
+	// Limits are the document's, by name, beside those of every deployment.
+	Limits map[string]float64
 }
 
+// routedLimits are those of every deployment.
+var routedLimits = map[string]float64{"permit_ms": 1800, "session_ms": 1200, "platform_ms": 1000, "dark_ms": 900, "probe_ms": 450}
+
 // engine is a stand-in with the parameters of a deployment's sheet.
 func engine(name, zone, model string, reports bool) EngineOptions {
 	return EngineOptions{
@@ -50,7 +57,12 @@
 
 // Document is the configuration with the routes.
 func (shape RoutedShape) Document(routes RouteWords) string {
-	var words, regions []string
+	var words, regions, limits []string
+	values := maps.Clone(routedLimits)
+	maps.Copy(values, shape.Limits)
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		limits = append(limits, fmt.Sprintf("%q:%v", name, values[name]))
+	}
 	for _, name := range []string{"check", "notice", "moved", "more"} {
 		if rest, has := routes[name]; has {
 			words = append(words, fmt.Sprintf(`{"name":%q,%s}`, name, rest))
@@ -61,8 +73,8 @@
 	}
 	engine := `{"probe_path":"/vitals","conn_cap":370,"cold_ms":3000,"cold_per_s":26,"berths":64,"cache_tokens":348621,"spacing":4}`
 	return fmt.Sprintf(`{"whole":{"placements":{"scribe":{"version":"any","capacity":64},"clerk":{"version":"any","capacity":64}},
-  "limits":{"permit_ms":1800,"session_ms":1200,"platform_ms":1000,"dark_ms":900,"probe_ms":450}},
- "engines":{"scribe":%s,"clerk":%s},"routes":[%s],"regions":{%s}}`, engine, engine, strings.Join(words, ","), strings.Join(regions, ","))
+  "limits":{%s}},
+ "engines":{"scribe":%s,"clerk":%s},"routes":[%s],"regions":{%s}}`, strings.Join(limits, ","), engine, engine, strings.Join(words, ","), strings.Join(regions, ","))
 }
 
 // Plan is the fleet of the shape, each region with one engine of the spare model beside
