Fewer rounds to a first permit; cold replicas paced by the rule; dark regions doubted

Cause: after a full loss daemons where regions are 110 ms apart had permits 1.3 to 2.6 s after their start, as a first permit took six rounds of reading, and an opening packet to a machine that was still off was waited for a second; standings named no replica of a region while all its probes waited behind requests.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -251,6 +251,19 @@
 	dark := tree.Span("dark_ms", region.name)
 	region.guard.Lock()
 	defer region.guard.Unlock()
+	dim, all := 0, 0 // engines' replicas that do not answer probes, and all of them
+	for _, one := range region.table {
+		if one.engine(tree) != nil && !one.leaving && !one.unlisted {
+			all++
+			if !one.probed || now-one.answered >= dark {
+				dim++
+			}
+		}
+	}
+	// Probes wait behind requests, and the way to a region may be cut here and not
+	// there: where most do not answer, those that are listed stay in use, and data
+	// daemons go by what their own requests tell.
+	isDoubtful := 2*dim > all
 	var out []standing.Replica
 	for _, one := range region.table {
 		row := standing.Replica{
@@ -267,6 +280,7 @@
 		}
 		if one.engine(tree) != nil {
 			row.Boot = one.ID
+			row.Alive = row.Alive || isDoubtful && now-region.since > 2*dark
 		}
 		out = append(out, row)
 	}
--- a/decide/route.go
+++ b/decide/route.go
@@ -236,7 +236,11 @@
 	for at := range all {
 		one := &all[at]
 		decider.foresee(view, routed, one, owner == one.place.ID, now)
-		if readers[one.place.ID] != isLong {
+		switch {
+		case one.row.Trial:
+			// All daemons load the same few replicas with what they may give a trial.
+			one.weight = time.Duration(math.MaxInt64 - int64(trialRank(one.row.Model, one.row.Version, one.place.ID)>>1))
+		case readers[one.place.ID] != isLong:
 			one.weight += strayWeight
 		}
 		if best == nil || one.weight < best.weight {
@@ -250,7 +254,7 @@
 // part of what it bears then is used up; zero when it may get a request.
 //
 // Invariant: over every second, all data daemons together send a cold replica at most
-// ColdRate and one each, as each goes by an even part.
+// ColdRate times cold_excess, and one each, as each goes by an even part.
 func (decider *Decider) paced(view *permit.View, known *settings.Engine, place *standing.Place, seat *engine, now time.Duration) time.Duration {
 	if known == nil || known.ColdRate <= 0 || place.Warm >= 1 && !view.Unkept[place.Region] {
 		return 0
@@ -261,7 +265,10 @@
 			daemons++
 		}
 	}
-	most := max(1, int(known.ColdRate/float64(max(1, daemons))))
+	for _, one := range view.Standings {
+		daemons = max(daemons, one.Daemons)
+	}
+	most := max(1, int(known.ColdRate*view.Tree.Limit("cold_excess", decider.Self.Zone)/float64(max(1, daemons))))
 	if seat.sentWithin(now, time.Second) < most {
 		return 0
 	}
--- a/permit/office.go
+++ b/permit/office.go
@@ -187,34 +187,25 @@
 	began := office.World.Now()
 	record := Record{Incarnation: ask.Holder.Incarnation, Wire: ask.Holder.Wire}
 	holderKey := HolderPrefix + ask.Holder.Name
+	// The records first, the configuration after: see Record. One that begins anew has
+	// to be recorded in any case.
+	if err := office.recorded(holderKey, record, ask.Config == 0); err != nil {
+		grant.Declined = err.Error()
+		return nil
+	}
 	_, _, tree := office.Current()
 	for round := 0; round < 3; round++ {
-		keys := []string{holderKey}
+		keys := []string{ConfigKey}
 		if tree != nil {
 			for _, region := range tree.Regions() {
 				keys = append(keys, StandingPrefix+region)
 			}
 		}
-		// The records first, the configuration after: see Record.
 		values, open, err := office.Keeper.ReadSettled(keys...)
-		if err == nil && slices.Contains(open, holderKey) {
-			values[holderKey], err = office.Keeper.Read(holderKey)
-		}
-		if err != nil {
-			grant.Declined = err.Error()
-			return nil
-		}
-		var have Record
-		if value := values[holderKey]; value.Serial > 0 {
-			_ = json.Unmarshal(value.Data, &have)
-		}
-		if have != record {
-			if err := office.enrol(holderKey, record); err != nil {
-				grant.Declined = err.Error()
-				return nil
-			}
+		value := values[ConfigKey]
+		if err == nil && slices.Contains(open, ConfigKey) {
+			value, err = office.Keeper.Read(ConfigKey)
 		}
-		value, err := office.Keeper.Read(ConfigKey)
 		if err != nil {
 			grant.Declined = err.Error()
 			return nil
@@ -320,6 +311,25 @@
 	return one, isRead
 }
 
+// recorded sees to it that the holder's record stands.
+func (office *Office) recorded(key string, record Record, isNew bool) error {
+	if isNew {
+		return office.enrol(key, record)
+	}
+	value, err := office.Keeper.Read(key)
+	if err != nil {
+		return err
+	}
+	var have Record
+	if value.Serial > 0 {
+		_ = json.Unmarshal(value.Data, &have)
+	}
+	if have == record {
+		return nil
+	}
+	return office.enrol(key, record)
+}
+
 // enrol records a holder. An older incarnation of the name is thereby gone.
 func (office *Office) enrol(key string, record Record) error {
 	data, err := json.Marshal(record)
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -49,6 +49,7 @@
 	"answer_unit_tokens": {512, 1, 1048576, "answer tokens per unit of cost"},
 	"far_ms":             {80, 0, 10000, "what the way to another region adds to a first piece"},
 	"far_kb_ms":          {4, 0, 10000, "what a KiB sent to another region is weighed as, in ms of waiting"},
+	"cold_excess":        {1, 0.1, 2, "how much of its cold rate a cold replica is sent by all together, as a ratio"},
 	"reader_share":       {0.7, 0, 1, "which part of a model's replicas long prompts go to"},
 	"again_ms":           {60, 0, 10000, "what a thousand shared tokens read again elsewhere are weighed as, in ms of waiting"},
 	"affinity_slack":     {1.5, 0, 100, "how far above the average load a prompt's own replica may go; 0: prompts have no own replica"},
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -195,8 +195,11 @@
 	Serial uint64 // of the register that holds it
 	Duty   uint64 // serial of the duty that wrote it
 	Config uint64
-	Rows   []Row
-	Places []Place
+	// Daemons is how many data daemons there are that may send here. One that is not
+	// heard of counts for a while, as what it may send can't be known.
+	Daemons int
+	Rows    []Row
+	Places  []Place
 	// Warmth remembers replicas that get nothing now, by id and boot, so that
 	// one that was only out of sight does not count as cold.
 	Warmth map[string]float64
@@ -233,7 +236,10 @@
 
 // Compute makes the region's next standing.
 func Compute(input Input) Standing {
-	out := Standing{Region: input.Region, Duty: input.Duty, Config: input.Config}
+	out := Standing{Region: input.Region, Duty: input.Duty, Config: input.Config, Daemons: len(input.Daemons)}
+	if input.Before != nil && input.Since < missed {
+		out.Daemons = max(out.Daemons, input.Before.Daemons)
+	}
 	replicas := append([]Replica{}, input.Replicas...)
 	sort.Slice(replicas, func(a, b int) bool { return replicas[a].ID < replicas[b].ID })
 	recent := Gather(input.Daemons)
@@ -259,6 +265,9 @@
 	return out
 }
 
+// missed is for how long data daemons count that are not heard of any more.
+const missed = 15 * time.Second
+
 // Gather sums the daemons' recent outcomes.
 func Gather(daemons []Daemon) map[Outcome]Outcome {
 	sums := map[Outcome]Outcome{}
@@ -617,7 +626,7 @@
 		out.Warm = max(coldShare, min(1, out.Warm+(1-coldShare)*step))
 	}
 	if engined(input, replica) {
-		out.Warm, out.Pace, out.Capacity = 1, 0, whole
+		out.Warm, out.Pace, out.Capacity, out.Slow = 1, 0, whole, false // data daemons see for themselves
 		if replica.Cold {
 			out.Warm = coldShare
 		}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -56,6 +56,9 @@
 	lines map[string]*rpc.Client
 }
 
+// dialParts is which part of a call's patience the opening of a line may take.
+const dialParts = 2
+
 func (tcp *TCP) line(address string, patience time.Duration) (*rpc.Client, error) {
 	tcp.guard.Lock()
 	line := tcp.lines[address]
@@ -63,7 +66,9 @@
 	if line != nil {
 		return line, nil
 	}
-	conn, err := net.DialTimeout("tcp", address, patience)
+	// An opening packet that is lost, as the machine is just starting, is sent again
+	// only after a second or more. The caller had better try again, or elsewhere.
+	conn, err := net.DialTimeout("tcp", address, patience/dialParts)
 	if err != nil {
 		return nil, err
 	}
