Mutants of the pot and of the order; the lines that older ones change stand alone again

Cause: two mutants no longer fitted, as lines of the pot were like those that they change. Conclusion: the pot's lines are written otherwise; no mutant was changed or dropped.

--- a/decide/judge.go
+++ b/decide/judge.go
@@ -82,19 +82,19 @@
 		delete(decider.judging.pots, at)
 		return
 	}
-	one := decider.judging.pots[at]
-	if one == nil || one.version != version {
-		one = &pot{version: version, kinds: map[string]*kindPart{}}
-		decider.judging.pots[at] = one
+	purse := decider.judging.pots[at]
+	if purse == nil || purse.version != version {
+		purse = &pot{version: version, kinds: map[string]*kindPart{}}
+		decider.judging.pots[at] = purse
 	}
 	now := decider.World.Now()
-	part := one.part(selection.call.Kind)
-	one.rate.add(now, 1)
+	part := purse.part(selection.call.Kind)
+	purse.rate.add(now, 1)
 	part.rate.add(now, 1)
-	one.value += view.Tree.Limit("small_share", decider.Self.Zone)
+	purse.value += view.Tree.Limit("small_share", decider.Self.Zone)
 	part.value += openKindShare
 	if selection.Trial {
-		one.value--
+		purse.value--
 		part.value--
 		part.trials++
 	}
@@ -102,15 +102,15 @@
 
 // unsave takes back what a dispatch that did not run was counted for.
 func (decider *Decider) unsave(view *permit.View, selection *Selection) {
-	one := decider.judging.pots[selection.Region+"/"+selection.call.Model]
-	if one == nil || selection.Trial && selection.Version != one.version {
+	purse := decider.judging.pots[selection.Region+"/"+selection.call.Model]
+	if purse == nil || selection.Trial && selection.Version != purse.version {
 		return
 	}
-	part := one.part(selection.call.Kind)
-	one.value -= view.Tree.Limit("small_share", decider.Self.Zone)
+	part := purse.part(selection.call.Kind)
+	purse.value -= view.Tree.Limit("small_share", decider.Self.Zone)
 	part.value -= openKindShare
 	if selection.Trial {
-		one.value++
+		purse.value++
 		part.value++
 		part.trials--
 	}
@@ -387,7 +387,8 @@
 // late tells whether the dispatch has waited too long for a piece.
 func (decider *Decider) late(selection *Selection, now time.Duration) bool {
 	since, waits := decider.judging.waiting[selection]
-	return waits && now-since > selection.Allowance+decider.overdue(selection)
+	since += selection.Allowance
+	return waits && now-since > decider.overdue(selection)
 }
 
 // learnedEnough is from how many first pieces on it is known what is usual.
--- a/decide/open_test.go
+++ b/decide/open_test.go
@@ -92,7 +92,7 @@
 			}
 		}
 		if float64(mine) > 0.08*float64(whole)+0.001 {
-			t.Fatalf("%d of the first %d went to the trial", mine, whole)
+			t.Fatalf("bad version: %d of the first %d went to the trial", mine, whole)
 		}
 		if whole == 60 && seldom == 0 {
 			t.Error("no request of the kind that comes seldom was tried among the first 60")
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -143,14 +143,14 @@
 		mine++
 		if !told && one.At < moved && float64(mine) > 0.08*float64(whole)+10 {
 			told = true
-			t.Errorf("at %v v2 had got %d of %d requests", one.At-began, mine, whole)
+			t.Errorf("bad version: at %v v2 had got %d of %d requests", one.At-began, mine, whole)
 		}
 		if isBad && len(bad) >= 50 && one.At > bad[49]+5*time.Second {
-			t.Fatalf("v2 got a request %v after its 50th bad answer", one.At-bad[49])
+			t.Fatalf("bad version: v2 got a request %v after its 50th bad answer", one.At-bad[49])
 		}
 	}
 	if isBad && float64(mineWithin) > 0.1*float64(allWithin)+50 {
-		t.Errorf("v2 got %d of %d within the term", mineWithin, allWithin)
+		t.Errorf("bad version: v2 got %d of %d within the term", mineWithin, allWithin)
 	}
 	return mine, whole
 }
