--- a/fleet/tender_test.go
+++ b/fleet/tender_test.go
@@ -311,8 +311,10 @@
 		before := core(park)
 		disk := park.Node("c1").Disk
 		kept := *disk
-		wipe(park, "c1")
+		park.Crash("c1") // both at once: one after the other, the first is whole before
 		wipe(park, "c2")
+		park.Node("c1").Disk.Lose()
+		park.StartControl("c1")
 		park.Run(20 * time.Second)
 		// No majority remembers: nothing is decided, and above all nothing new is made.
 		if now := core(park); now.Epoch != before.Epoch || park.Controls["c3"].Keeper.Core().Epoch != before.Epoch {
