--- a/fleet/park.go
+++ b/fleet/park.go
@@ -37,6 +37,8 @@
 	Shape   RoutedShape
 	// Lag and Least are the platform's; Grace its grace when stopping a replica.
 	Lag, Least, Grace time.Duration
+	// First is whether daemons are told that the system starts for the first time.
+	First bool
 }
 
 // Crowd is a stream of like requests from one zone.
@@ -214,7 +216,7 @@
 	if seeds == nil {
 		seeds = park.seeds()
 	}
-	process := settings.Process{Name: name, Zone: zone, Region: Region(zone), Wire: name, HTTP: name, Seeds: seeds}
+	process := settings.Process{Name: name, Zone: zone, Region: Region(zone), Wire: name, HTTP: name, Seeds: seeds, First: park.First}
 	if len(park.Plan.Engines) > 0 {
 		process.Door = name
 	}
@@ -366,6 +368,9 @@
 	return names
 }
 
+// Place says in which zone a machine is that the plan does not have.
+func (park *Park) Place(name, zone string) { park.zones[name] = zone }
+
 // Zone of a node.
 func (park *Park) Zone(name string) string { return park.zones[name] }
 
--- a/session/session.go
+++ b/session/session.go
@@ -224,9 +224,17 @@
 	return ""
 }
 
-// colleagues are the control daemons to tell: the live ones and the seeds.
-func (table *Table) colleagues() []string {
-	var addresses []string
+// Colleagues are addresses at which control daemons may be: members, seeds, and
+// wherever an acceptor of the core was last known.
+func (table *Table) Colleagues() []string {
+	addresses, _ := table.colleagues()
+	return addresses
+}
+
+// colleagues are the control daemons to tell: the live ones, of which it gives the
+// count, and then the seeds and wherever an acceptor of the core may be. The core is
+// read off the disk, so daemons that all start at once find each other by it.
+func (table *Table) colleagues() (addresses []string, members int) {
 	seen := map[string]bool{table.Self.Wire: true}
 	add := func(address string) {
 		if !seen[address] {
@@ -237,15 +245,18 @@
 	for _, one := range table.Live(Control) {
 		add(one.Member.Wire)
 	}
+	members = len(addresses)
 	for _, seed := range table.Seeds() {
 		add(seed)
 	}
 	for _, member := range table.Keeper.Core().Members {
 		if address := table.Locate(member.ID); address != "" {
 			add(address)
+		} else {
+			add(member.Address)
 		}
 	}
-	return addresses
+	return addresses, members
 }
 
 func (table *Table) sweep() {
--- a/session/share.go
+++ b/session/share.go
@@ -289,22 +289,29 @@
 // Run shares the sessions with the colleagues until the world ends.
 func (table *Table) Run() {
 	loop.Every(table.World, func() time.Duration { return table.Span() / 6 }, func() bool {
-		addresses := table.colleagues()
+		// Nobody waits for addresses that lead to no member while the members answer.
+		addresses, members := table.colleagues()
+		left := members
 		loop.Gather(table.World, len(addresses), table.Span()/4, func(index int) bool {
 			// One that lacks something, as it began anew, is told at once.
 			for try := 0; try < 2; try++ {
 				shared, serials := table.give(addresses[index])
 				back := new(Shared)
 				if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
-					return false
+					break
 				}
 				table.answered(addresses[index], serials, back)
 				if len(back.Lacks) == 0 {
 					break
 				}
 			}
-			return true
-		}, func(int, bool) bool { return false })
+			return index < members
+		}, func(_ int, isMember bool) bool {
+			if isMember {
+				left--
+			}
+			return members > 0 && left == 0
+		})
 		table.sweep()
 		return true
 	})
