Repeats of routed requests are counted against their own model's demand

Cause: one budget stood for all models, so that a quiet model whose replicas failed got repeats on the busy one's account (19 against 64 requests, seven data daemons). Ruled out: the way the windows are counted; with one model the bound held. Conclusion: a budget for each model; requests with tickets keep theirs.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,6 +104,9 @@
 	queue   []*waiter
 	stopped bool
 	budget  budget
+	// repeats are the budgets of routed requests, by model: each has only what its own
+	// demand allows.
+	repeats map[string]*budget
 	judging judging
 	window  window
 	demand  map[string]*flow
@@ -139,7 +142,7 @@
 
 // New makes a decider.
 func New(options Options) *Decider {
-	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}}
+	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, repeats: map[string]*budget{}}
 	decider.counts.Declined = map[string]uint64{}
 	decider.window.totals = map[standing.Outcome]standing.Outcome{}
 	decider.tickets.init()
@@ -205,7 +208,7 @@
 		return nil
 	}
 	decider.counts.Retries++
-	if !decider.spend(view) {
+	if !decider.spend(view, &decider.budget) {
 		return decider.decline(429, "retry_budget", "too many retries for the real demand; come back later", comeBackAfter(view))
 	}
 	decider.counts.Allowed++
@@ -213,13 +216,13 @@
 }
 
 // spend takes one retry from the budget, if there is one.
-func (decider *Decider) spend(view *permit.View) bool {
+func (decider *Decider) spend(view *permit.View, budget *budget) bool {
 	now := decider.World.Now()
-	fresh, again := decider.budget.sums(now)
+	fresh, again := budget.sums(now)
 	if again > 0 && float64(again+1) > view.Tree.Limit("retry_share", decider.Self.Zone)*float64(fresh) {
 		return false
 	}
-	decider.budget.count(now).again++
+	budget.count(now).again++
 	return true
 }
 
@@ -681,7 +684,7 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	view := decider.Holder()
-	if view.Tree == nil || !decider.spend(view) {
+	if view.Tree == nil || !decider.spend(view, &decider.budget) {
 		return false
 	}
 	decider.counts.Redispatches++
--- a/decide/route.go
+++ b/decide/route.go
@@ -62,11 +62,32 @@
 	routed.call = Call{ID: routed.ID, Model: routed.Model, Kind: route.Name, Path: routed.Path, Bytes: routed.Bytes}
 	routed.owner = ownerKey(routed)
 	decider.counts.Demanded++
-	decider.budget.count(now).fresh++
+	decider.repeatsOf(routed.Model).count(now).fresh++
 	decider.flow(decider.demand, routed.Model).add(now, 1)
 	return nil
 }
 
+// repeatsOf is the budget of a model's routed requests.
+func (decider *Decider) repeatsOf(model string) *budget {
+	if decider.repeats[model] == nil {
+		decider.repeats[model] = &budget{}
+	}
+	return decider.repeats[model]
+}
+
+// Repeat tells whether a routed request may be sent to one more replica; it costs a
+// retry of its model.
+func (decider *Decider) Repeat(routed *Routed) bool {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	view := decider.Holder()
+	if view.Tree == nil || !decider.spend(view, decider.repeatsOf(routed.Model)) {
+		return false
+	}
+	decider.counts.Redispatches++
+	return true
+}
+
 // comeBackSoon is when a request that another daemon can take is worth another try.
 const comeBackSoon = 50 * time.Millisecond
 
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -184,7 +184,7 @@
 		passage.routed.Expiry-passage.executor.World.Now() <= 0 || mishap.Code == "expired" {
 		return false
 	}
-	return passage.executor.Decider.Redispatch()
+	return passage.executor.Decider.Repeat(passage.routed)
 }
 
 // unseat hands the selection back.
