--- a/fleet/checkrouted.go
+++ b/fleet/checkrouted.go
@@ -302,8 +302,9 @@
 }
 
 // routedRetries: what a model's engines get beyond the first arrival of each try, in
-// any window, is within a share of what callers sent to its routes in it, the window
-// before or the one half a window before, whichever had most, and one per daemon.
+// any window, is within a share of what callers sent to its routes in it, whether or not
+// it arrived, or in the window before or the one half a window before, whichever had
+// most, and one per daemon.
 // Judged: such arrivals.
 func routedRetries(park *Park, facts Facts) (all []Broken, judged int) {
 	again, sent := map[string][]time.Duration{}, map[string][]time.Duration{}
@@ -312,11 +313,22 @@
 		if isSeen[run.ID] {
 			again[run.Model] = append(again[run.Model], run.At)
 			judged++
-		} else if try := park.tried[run.ID]; try != nil {
-			sent[run.Model] = append(sent[run.Model], try.Sent)
 		}
 		isSeen[run.ID] = true
 	}
+	for _, one := range park.RoutedRequests {
+		for _, try := range one.Tries {
+			models := map[string]bool{}
+			for _, book := range facts.books(try.Sent, try.Sent) {
+				if route := book.Tree.Route(one.Crowd.Host, one.Crowd.Path); route != nil {
+					models[route.Shares[0].Model] = true
+				}
+			}
+			for model := range models {
+				sent[model] = append(sent[model], try.Sent)
+			}
+		}
+	}
 	for model, list := range again {
 		asks := sent[model]
 		sort.Slice(asks, func(a, b int) bool { return asks[a] < asks[b] })
--- a/fleet/faultsrouted.go
+++ b/fleet/faultsrouted.go
@@ -240,6 +240,46 @@
 		}
 		park.Run(9 * time.Second)
 	}, []string{"whole"}},
+	{"flood", false, func(park *Park, facts *Facts) {
+		// Far more than the engines have places for, by callers that give up and try again.
+		park.eachEngine(func(engine *Engine) { engine.Berths, engine.Queue = 6, 3 })
+		engines := 0
+		for _, count := range park.Shape.Engines {
+			engines += count
+		}
+		for _, region := range park.Shape.Regions {
+			crowd := park.Plan.Routed[0]
+			crowd.Name, crowd.Zone, crowd.Shared, crowd.Own, crowd.Most = "flood-"+region, region+"-1", 0, 600, 200
+			crowd.Workers, crowd.Pause, crowd.Until = 15*engines/len(park.Shape.Regions), 100*time.Millisecond, park.Now()+5*time.Second
+			park.crowdRouted(&crowd)
+		}
+		park.Run(8 * time.Second)
+		park.eachEngine(func(engine *Engine) { engine.Berths, engine.Queue = 64, 16 })
+		park.Run(2 * time.Second)
+		declined := 0
+		for _, run := range park.Runs {
+			if run.NotRun {
+				declined++
+			}
+		}
+		facts.Must("engines turned requests away", declined > 0)
+	}, []string{"whole", "promise", "routed retries"}},
+	{"engines of the quiet model fail", false, func(park *Park, facts *Facts) {
+		// What the busy model's requests allow in repeats is nothing that the other may use.
+		words := park.Shape.Routes()
+		words["more"] = `"host":"office.example","prefix":"/more/","kind":"streamed","timeout_ms":8000,"target_ms":800,"gap_ms":300,"urgency":2,"tries":3,"resume":true,"shares":[{"model":"clerk","weight":1}]`
+		facts.Need("apply", park.ApplyRoutes(facts, words))
+		park.eachEngine(func(engine *Engine) {
+			if engine.Model == spareModel {
+				engine.Fails = 0.9
+			}
+		})
+		crowd := park.Plan.Routed[2]
+		crowd.Name, crowd.Path, crowd.Workers, crowd.Until, crowd.Repeatable, crowd.Resume = "more", "/more/one", 8, park.Now()+6*time.Second, true, true
+		park.crowdRouted(&crowd)
+		park.Run(8 * time.Second)
+		park.eachEngine(func(engine *Engine) { engine.Fails = 0 })
+	}, []string{"routed retries"}},
 	{"late second answers", false, func(park *Park, facts *Facts) {
 		troubled(Troubles{Repeats: 0.3}, 6*time.Second)(park, facts)
 		facts.Must("some answers came twice", park.Repeated > 0)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -298,6 +298,12 @@
 	}
 }
 
+// probed is what a probe brings.
+type probed struct {
+	vitals replica.Vitals
+	isFull bool
+}
+
 // engineDialect is how control daemons probe engines.
 type engineDialect struct {
 	replica.Dialect
@@ -314,18 +320,23 @@
 	}
 	park.Deliver(node, target.Address, func(at *sim.Node) {
 		engine := park.Engines[target.Address]
+		// A probe waits for a slot, or is turned away, as a request is.
+		for len(engine.active) >= engine.Berths && len(engine.waiting) < engine.Queue {
+			loop.Sleep(at, 10*time.Millisecond)
+		}
+		isFull := len(engine.waiting) >= engine.Queue
 		vitals := replica.Vitals{Boot: engine.Life, Load: -1, Leaving: engine.Leaving, Cold: max(0, engine.ColdUntil-park.Now())}
-		park.Deliver(at, node.Name, func(*sim.Node) { box.Put(vitals) })
+		park.Deliver(at, node.Name, func(*sim.Node) { box.Put(probed{vitals, isFull}) })
 	})
 	got, has := box.Take(patience)
 	if !has {
 		return replica.Vitals{}, errors.New("no answer")
 	}
-	vitals := got.(replica.Vitals)
+	vitals, isFull := got.(probed).vitals, got.(probed).isFull
 	switch {
 	case vitals.Boot != target.ID:
 		return replica.Vitals{}, errors.New("another one answers at its address")
-	case vitals.Leaving:
+	case vitals.Leaving || isFull:
 		// As the real dialect: a status that is no 200 is no answer.
 		return vitals, errors.New("the probe was answered 503")
 	}
