--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -100,6 +100,8 @@
 	memory   int
 	arrivals []time.Duration
 	taken    uint64
+	// isFalling is set when it ends for what it was sent while cold.
+	isFalling bool
 }
 
 // readKey is a part of prompts that an engine of a model has read.
@@ -210,6 +212,10 @@
 		engine.arrivals = engine.arrivals[1:]
 	}
 	if run.Cold && engine.ColdRate > 0 && float64(len(engine.arrivals)) > coldFall*engine.ColdRate+coldFallMore {
+		if engine.isFalling {
+			return
+		}
+		engine.isFalling = true
 		engine.park.Fallen++
 		engine.park.At(0, func() { engine.park.Crash(engine.Name) })
 		return
@@ -229,6 +235,9 @@
 	}
 	one.isLost = engine.happens(engine.Loses)
 	engine.waiting = append(engine.waiting, one)
+	if len(engine.waiting) == 1 && len(engine.active) < engine.Berths {
+		engine.seat()
+	}
 	if len(engine.waiting) > engine.Queue {
 		// A more urgent one came in; the newest of the least urgent that wait goes.
 		last := engine.least(engine.waiting)
