Passages by script: what a caller is told after each course of dispatches

Cause: the promise behind a dispatch that may have run was guarded by a simulation alone. Conclusion: repeats, resumptions and their bounds are shown by a table.

--- a/fleet/faultsrouted.go
+++ b/fleet/faultsrouted.go
@@ -284,8 +284,17 @@
 		troubled(Troubles{Repeats: 0.3}, 6*time.Second)(park, facts)
 		facts.Must("some answers came twice", park.Repeated > 0)
 	}, []string{"whole"}},
-	{"answers broken off", false, troubled(Troubles{Breaks: 0.15}, 6*time.Second), []string{"rerun", "routed retries"}},
-	{"answers lost", false, troubled(Troubles{Loses: 0.05}, 6*time.Second), []string{"rerun"}},
+	{"answers broken off", false, func(park *Park, facts *Facts) {
+		troubled(Troubles{Breaks: 0.15}, 6*time.Second)(park, facts)
+		resumed := 0
+		for _, run := range park.Runs {
+			if try := park.tried[run.ID]; run.After > 0 && try.After == 0 && try.IsWhole {
+				resumed++
+			}
+		}
+		facts.Must("streams went on at other engines within one answer", resumed > 0)
+	}, []string{"rerun", "routed retries"}},
+	{"answers lost", false, troubled(Troubles{Loses: 0.1}, 6*time.Second), []string{"rerun"}},
 	{"answers failed", false, troubled(Troubles{Fails: 0.15}, 6*time.Second), []string{"rerun", "routed retries"}},
 	{"calls lost, repeated and late", false, func(park *Park, _ *Facts) {
 		park.Unruly = sim.Unruly{Lost: 0.05, Repeated: 0.1, Late: 0.1, Latest: 1500 * time.Millisecond}
