Slots keep shared parts in place; silence is judged by streams; short prompts spread

Cause: where replicas went dark, each daemon sent requests there for two thirds of a second and again after each pause, and short prompts crowded at the few replicas kept for them (p50 950 ms); a newcomer's name moved shared parts that nobody had to read again. Ruled out: credits and the standing (their replicas were out within 1 s).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,6 +59,8 @@
 	unread   int
 	sent     time.Duration
 	hasBegun bool
+	// isFlowing is from the first piece on.
+	isFlowing bool
 	// Allowance is what is known beforehand to pass before the first piece on top of
 	// what is usual, such as the reading of what the replica does not keep; it is held
 	// against nobody.
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"swifttiller/settings"
 )
 
 // Part is one piece of a prompt, in order; equal ids are equal pieces.
@@ -75,6 +77,18 @@
 	strikes int
 	// vouched is when the replica last showed that it is alive.
 	vouched time.Duration
+	// flowing are the streams that have begun and not ended.
+	flowing int
+}
+
+// opens tells whether a replica that was shunned, and has not shown since that it is
+// alive, may get a request: one at a time, and after a second time only one that may
+// run again elsewhere, unless it was shunned so long ago that it would be forgotten.
+func (engine *engine) opens(now time.Duration, isRepeatable bool) bool {
+	if engine.strikes == 0 {
+		return true
+	}
+	return engine.waits == 0 && (engine.strikes == 1 || isRepeatable || now-engine.shunned > mostShun)
 }
 
 // lagged is what is left of the lag; it halves each half second, as queues pass.
@@ -102,6 +116,19 @@
 	keptShare = 0.8
 )
 
+// filled is how full the replica is with what runs there, as a share of the half of
+// its berths, and at most one: beyond that streams are slow.
+func (engine *engine) filled(known *settings.Engine, now time.Duration) float64 {
+	if known == nil || known.Berths <= 0 {
+		return 0
+	}
+	running := engine.running
+	if now-engine.loadAt < time.Second {
+		running = max(running, engine.load.Running+engine.load.Waiting)
+	}
+	return min(1, 2*float64(running)/float64(known.Berths))
+}
+
 // sentWithin counts dispatches within the span before now, and forgets older ones.
 func (engine *engine) sentWithin(now, span time.Duration) int {
 	for len(engine.sent) > 0 && now-engine.sent[0] >= span {
--- a/decide/route.go
+++ b/decide/route.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"sort"
+	"strconv"
 	"time"
 
 	"swifttiller/permit"
@@ -236,7 +237,7 @@
 			}
 			seat := decider.engine(place.ID)
 			if routed.owner != 0 && readers[place.ID] == isLong {
-				if score := score(routed.owner, place.ID); owner == "" || score > most {
+				if score := slotScore(routed.owner, place); owner == "" || score > most {
 					owner, most = place.ID, score
 				}
 			}
@@ -244,8 +245,8 @@
 				soon(wait)
 				continue
 			}
-			if now < seat.shunned {
-				soon(seat.shunned - now)
+			if now < seat.shunned || !seat.opens(now, route.Repeatable()) {
+				soon(max(seat.shunned-now, firstShun/2))
 				shunned = append(shunned, prospect{row: row, place: place, seat: seat})
 				continue
 			}
@@ -259,6 +260,12 @@
 	}
 	var best *prospect
 	prices := decider.prices(view)
+	room := fits{}
+	for at := range all {
+		if one := &all[at]; !isLong && !readers[one.place.ID] {
+			room.note(one.place.Region, one.seat.filled(known, now))
+		}
+	}
 	for at := range all {
 		one := &all[at]
 		decider.foresee(prices, routed, one, owner == one.place.ID, now)
@@ -267,7 +274,8 @@
 			// All daemons load the same few replicas with what they may give a trial.
 			one.weight = time.Duration(math.MaxInt64 - int64(trialRank(one.row.Model, one.row.Version, one.place.ID)>>1))
 		case readers[one.place.ID] != isLong:
-			one.weight += strayWeight
+			// Less the fuller those are that it should go to.
+			one.weight += time.Duration(float64(strayWeight) * (1 - room.least(one.place.Region, isLong)))
 		}
 		if best == nil || one.weight < best.weight {
 			best = one
@@ -373,6 +381,11 @@
 	return time.Duration(float64(tokens) / decider.rate() * float64(time.Millisecond))
 }
 
+// slotScore is the rendezvous weight of a key at a place's slot.
+func slotScore(key uint64, place *standing.Place) uint64 {
+	return score(key, place.Region+"/"+strconv.Itoa(place.Slot))
+}
+
 // readers are the replicas that long prompts go to, so that short ones do not wait
 // behind them elsewhere: a share of each region's, and all where some route may not go.
 // Every daemon finds the same ones, and asks nobody.
@@ -384,18 +397,18 @@
 	share := view.Tree.Limit("reader_share", decider.Self.Zone)
 	for _, region := range view.Tree.Regions() {
 		one := view.Standings[region]
-		seats := map[string][]string{} // by model
+		seats := map[string][]*standing.Place{} // by model
 		index := map[string]*standing.Place{}
 		for at := range one.Places {
 			index[one.Places[at].ID] = &one.Places[at]
 		}
 		for _, row := range one.Rows {
 			if place := index[row.Replica]; place != nil && !view.Evacuated[place.Zone] && !row.Trial {
-				seats[row.Model] = append(seats[row.Model], row.Replica)
+				seats[row.Model] = append(seats[row.Model], place)
 			}
 		}
 		for model, list := range seats {
-			sort.Slice(list, func(a, b int) bool { return score(1, list[a]) > score(1, list[b]) })
+			sort.Slice(list, func(a, b int) bool { return slotScore(1, list[a]) > slotScore(1, list[b]) })
 			count := int(math.Round(share * float64(len(list))))
 			if view.Tree.Barred(model, region) {
 				count = len(list)
@@ -403,14 +416,45 @@
 			if decider.readersBy[model] == nil {
 				decider.readersBy[model] = map[string]bool{}
 			}
-			for _, id := range list[:count] {
-				decider.readersBy[model][id] = true
+			for _, one := range list[:count] {
+				decider.readersBy[model][one.ID] = true
 			}
 		}
 	}
 	return decider.readersBy[model]
 }
 
+// fits are, by region, how full the emptiest replica for short prompts is.
+type fits []fit
+
+type fit struct {
+	region string
+	filled float64
+}
+
+func (fits *fits) note(region string, filled float64) {
+	for at := range *fits {
+		if one := &(*fits)[at]; one.region == region {
+			one.filled = min(one.filled, filled)
+			return
+		}
+	}
+	*fits = append(*fits, fit{region, filled})
+}
+
+// least is one where there is none.
+func (fits fits) least(region string, isLong bool) float64 {
+	if isLong {
+		return 0
+	}
+	for _, one := range fits {
+		if one.region == region {
+			return one.filled
+		}
+	}
+	return 1
+}
+
 // longShare: a prompt that takes this part of its target to read is long. strayWeight
 // is what a replica for the other length has to be better by.
 const (
@@ -501,6 +545,8 @@
 	if !isPiece {
 		return
 	}
+	seat.flowing++
+	selection.isFlowing = true
 	took := now - selection.sent
 	over := took - selection.Foreseen
 	seat.lag = max(0, seat.lagged(now)*3/4+over/4)
@@ -515,28 +561,41 @@
 // learnTokens is how long a prompt must be for its first piece to tell the rate.
 const learnTokens = 2000
 
-// Suspect tells whether the replica of a selection that waits for its first piece has
-// been silent for so long that another should get requests; it then gets none for a
-// while.
+// Suspect tells whether the replica of a selection has been silent for so long that
+// others should get its requests; it then gets none for a while.
 func (decider *Decider) Suspect(selection *Selection) bool {
 	now := decider.World.Now()
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
-	if selection.hasBegun || now-max(seat.silent, seat.vouched) < silence(selection) {
+	if now-max(seat.silent, seat.vouched) < seat.silence(selection) {
 		return false
 	}
 	decider.shun(seat, now)
 	return true
 }
 
-// silence is how long a replica may say nothing at all while requests wait for it.
-func silence(selection *Selection) time.Duration {
+// Flowed notes that a piece of a stream came from the replica of a selection.
+func (decider *Decider) Flowed(selection *Selection) {
+	now := decider.World.Now()
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	seat := selection.seat
+	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+}
+
+// silence is how long a replica may say nothing at all while something is to come from
+// it: not long where streams flow, whose pieces come one after the other.
+func (engine *engine) silence(selection *Selection) time.Duration {
+	if engine.flowing > 0 {
+		return flowSilence
+	}
 	return leastSilence + silenceTimes*selection.Foreseen
 }
 
 const (
-	leastSilence = 350 * time.Millisecond
+	flowSilence  = 250 * time.Millisecond
+	leastSilence = 300 * time.Millisecond
 	silenceTimes = 3
 	firstShun    = 300 * time.Millisecond
 	mostShun     = 3 * time.Second
@@ -557,6 +616,9 @@
 	decider.guard.Lock()
 	decider.begun(selection, false, now)
 	selection.seat.running--
+	if selection.isFlowing {
+		selection.seat.flowing--
+	}
 	if mishap != nil {
 		switch mishap.Code {
 		case "replica_unreached", "replica_cut", "cut":
@@ -572,7 +634,7 @@
 // Overdue is by when a first piece should have come, counted from the dispatch; after
 // that a request that may run again is worth another replica.
 func (decider *Decider) Overdue(selection *Selection) time.Duration {
-	return silence(selection)
+	return leastSilence + silenceTimes*selection.Foreseen
 }
 
 // Doors gives the daemons that callers may go to, those in the zone first, then those
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -45,9 +45,9 @@
 
 // Ratios and bounds of a routed dispatch.
 const (
-	connectSpan = 300 * time.Millisecond
+	connectSpan = 150 * time.Millisecond
 	unheardSpan = 2 * time.Second
-	silentSpan  = 150 * time.Millisecond
+	silentSpan  = 100 * time.Millisecond
 	mostMissed  = 4
 	// gapTimes is how many of the longest timely pauses a resumable stream waits for its
 	// next event before another replica goes on with it.
@@ -94,7 +94,7 @@
 		ask.Left, ask.Urgency, ask.Version = routed.Expiry-now, routed.Route.Urgency, ""
 		ask.Bind, ask.Connect, ask.Unheard = passage.leaver.Bind, connectSpan, unheardSpan
 		if selection.Spill {
-			ask.Connect *= 2
+			ask.Connect *= 3
 		}
 		ask.Gate = func() *verdict.Mishap {
 			_, mishap := executor.Decider.Gate(selection)
@@ -160,17 +160,17 @@
 	selection, route := passage.selection, passage.routed.Route
 	return func(hasBegun bool) bool {
 		now := passage.executor.World.Now()
+		isSuspect := passage.executor.Decider.Suspect(selection)
 		if hasBegun {
 			return route.Resume && route.Gap > 0 && now-passage.heard > gapTimes*route.Gap && passage.mayGoOn()
 		}
-		isSuspect := passage.executor.Decider.Suspect(selection)
 		return isSuspect && route.Repeatable() && passage.mayGoOn() && now-since > passage.executor.Decider.Overdue(selection)
 	}
 }
 
 // mayGoOn tells whether another replica may be sent the request, budget aside.
 func (passage *Passage) mayGoOn() bool {
-	return passage.sent+1 < passage.routed.Route.Tries && passage.routed.Expiry-passage.executor.World.Now() > connectSpan
+	return passage.sent+1 < passage.routed.Route.Tries && passage.routed.Expiry-passage.executor.World.Now() > 2*connectSpan
 }
 
 // again tells whether the request may be sent to another replica after the mishap,
@@ -231,6 +231,7 @@
 		}
 		passage.heard = now
 		passage.executor.Decider.Begun(passage.selection, true)
+		passage.executor.Decider.Flowed(passage.selection)
 		if passage.Events {
 			passage.record.Events++
 			if id := lastID(piece); id != "" {
--- a/standing/deal.go
+++ b/standing/deal.go
@@ -278,7 +278,7 @@
 	}
 	for index := range a.Places {
 		x, y := a.Places[index], b.Places[index]
-		if x.ID != y.ID || x.Address != y.Address || x.Boot != y.Boot || x.Capacity != y.Capacity || x.Slow != y.Slow || !equal(x.Credits, y.Credits) {
+		if x.ID != y.ID || x.Address != y.Address || x.Boot != y.Boot || x.Capacity != y.Capacity || x.Slot != y.Slot || x.Slow != y.Slow || !equal(x.Credits, y.Credits) {
 			return false
 		}
 		if (x.Warm == 1) != (y.Warm == 1) {
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -184,6 +184,9 @@
 	// turning requests away; 0 is as they say.
 	Pace    float64
 	Credits map[string]int
+	// Slot is the number that the replica has among its region's: its own as long as it
+	// is listed, then the next newcomer's. What goes by it moves no more than it must.
+	Slot int
 	// InForce are older credits that their holders may still act on.
 	InForce map[string]int
 	Slow    bool
@@ -203,6 +206,8 @@
 	// Warmth remembers replicas that get nothing now, by id and boot, so that
 	// one that was only out of sight does not count as cold.
 	Warmth map[string]float64
+	// Reserved are the slots of listed replicas that get nothing now, by id.
+	Reserved map[string]int
 }
 
 // Shown lists the replicas in the standing, for logs; cold ones are marked.
@@ -261,10 +266,53 @@
 			out.Warmth[mark] = warm
 		}
 	}
+	number(input, replicas, &out)
 	deal(input, &out)
 	return out
 }
 
+// number gives every place its slot: the one it had, or the lowest that is free.
+//
+// Invariant: no two places have the same slot, and none has one that is reserved.
+func number(input Input, replicas []Replica, out *Standing) {
+	had := map[string]int{}
+	if input.Before != nil {
+		for id, slot := range input.Before.Reserved {
+			had[id] = slot
+		}
+		for _, place := range input.Before.Places {
+			had[place.ID] = place.Slot
+		}
+	}
+	isTaken := map[int]bool{}
+	isPlaced := map[string]bool{}
+	var fresh []int
+	for index := range out.Places {
+		place := &out.Places[index]
+		isPlaced[place.ID] = true
+		if slot, known := had[place.ID]; known && !isTaken[slot] {
+			place.Slot, isTaken[slot] = slot, true
+		} else {
+			fresh = append(fresh, index)
+		}
+	}
+	for _, replica := range replicas {
+		if slot, known := had[replica.ID]; known && !isPlaced[replica.ID] && !replica.Leaving && !isTaken[slot] {
+			if out.Reserved == nil {
+				out.Reserved = map[string]int{}
+			}
+			out.Reserved[replica.ID], isTaken[slot] = slot, true
+		}
+	}
+	slot := 0
+	for _, index := range fresh {
+		for isTaken[slot] {
+			slot++
+		}
+		out.Places[index].Slot, isTaken[slot] = slot, true
+	}
+}
+
 // missed is for how long data daemons count that are not heard of any more.
 const missed = 15 * time.Second
 
