--- a/decide/decide.go
+++ b/decide/decide.go
@@ -130,6 +130,8 @@
 	// readRate is how fast they read prompts, zero until learned.
 	engines  map[string]*engine
 	readRate float64
+	// base is what the first piece takes whatever the prompt, as learned.
+	base time.Duration
 	// readersBy are the replicas for long prompts, by model, as of the view readersOf.
 	readersOf *permit.View
 	readersBy map[string]map[string]bool
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -110,7 +110,13 @@
 	mostRate  = 2000.0
 	// eachRunning is what another running request adds to a first piece, eachWaiting
 	// one that waits before the replica.
-	eachRunning = 2 * time.Millisecond
+	eachRunning = 300 * time.Microsecond
+	// fullCrowd is what a replica with all its berths taken adds besides.
+	fullCrowd = 64 * time.Millisecond
+	// eachPair is what a token costs for each that stands before it, in ms; firstBase
+	// what the shortest prompt takes until answers have shown it.
+	eachPair    = 0.25e-6
+	firstBase   = 60 * time.Millisecond
 	eachWaiting = 40 * time.Millisecond
 	// keptShare is which part of a replica's memory is taken to hold kept parts.
 	keptShare = 0.8
--- a/decide/route.go
+++ b/decide/route.go
@@ -236,7 +236,8 @@
 				continue
 			}
 			seat := decider.engine(place.ID)
-			if routed.owner != 0 && readers[place.ID] == isLong {
+			// A short prompt is not worth a far way: each region has an owner of its own.
+			if routed.owner != 0 && readers[place.ID] == isLong && (isLong || region == decider.Self.Region || !route.Within(decider.Self.Region)) {
 				if score := slotScore(routed.owner, place); owner == "" || score > most {
 					owner, most = place.ID, score
 				}
@@ -259,7 +260,7 @@
 		all = shunned
 	}
 	var best *prospect
-	prices := decider.prices(view)
+	prices := decider.prices(view, routed.Model)
 	room := fits{}
 	for at := range all {
 		if one := &all[at]; !isLong && !readers[one.place.ID] {
@@ -335,17 +336,32 @@
 
 // prices are what the settings say that ways and reading cost, read once a decision.
 type prices struct {
+	berths     int
 	far, again time.Duration
 	// farKB is in milliseconds a KiB.
 	farKB float64
 }
 
-func (decider *Decider) prices(view *permit.View) prices {
+func (decider *Decider) prices(view *permit.View, model string) prices {
 	zone := decider.Self.Zone
-	return prices{far: view.Tree.Span("far_ms", zone), again: view.Tree.Span("again_ms", zone), farKB: view.Tree.Limit("far_kb_ms", zone)}
+	berths := 0
+	if known := view.Tree.Engine(model); known != nil {
+		berths = known.Berths
+	}
+	return prices{berths: berths, far: view.Tree.Span("far_ms", zone), again: view.Tree.Span("again_ms", zone), farKB: view.Tree.Limit("far_kb_ms", zone)}
 }
 
 // foresee fills in how long the first piece would take at the replica.
+// crowd is what so many running requests add to a first piece: little each, and more
+// the fuller the replica is.
+func (prices prices) crowd(running int) time.Duration {
+	share := 0.0
+	if prices.berths > 0 {
+		share = float64(running) / float64(prices.berths)
+	}
+	return time.Duration(running)*eachRunning + time.Duration(share*share*float64(fullCrowd))
+}
+
 func (decider *Decider) foresee(prices prices, routed *Routed, one *prospect, isOwner bool, now time.Duration) {
 	seat := one.seat
 	own, shared := seat.unread(routed.Parts, routed.Tokens, isOwner)
@@ -354,7 +370,7 @@
 	if now-seat.loadAt < time.Second {
 		others = max(0, seat.load.Running-seat.running)
 	}
-	one.foreseen = decider.reading(seat.reading) + decider.reading(one.unread) + time.Duration(seat.running+others)*eachRunning + seat.lagged(now)
+	one.foreseen = decider.base + decider.reading(seat.reading) + decider.reading(one.unread) + prices.crowd(seat.running+others) + seat.lagged(now)
 	if now-seat.loadAt < time.Second {
 		one.foreseen += time.Duration(seat.load.Waiting) * eachWaiting
 	}
@@ -373,12 +389,14 @@
 		one.weight += coldWeight
 	}
 	// Equal ones take turns.
-	one.weight += time.Duration(decider.World.Draw(int64(eachRunning)))
+	one.weight += time.Duration(decider.World.Draw(int64(time.Millisecond)))
 }
 
-// reading is how long a replica reads a prompt of so many tokens.
+// reading is how long a replica reads a prompt of so many tokens: each costs the same,
+// and a little for each that stands before it.
 func (decider *Decider) reading(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / decider.rate() * float64(time.Millisecond))
+	pairs := float64(tokens) * float64(tokens) / 2
+	return time.Duration((float64(tokens)/decider.rate() + pairs*eachPair) * float64(time.Millisecond))
 }
 
 // slotScore is the rendezvous weight of a key at a place's slot.
@@ -548,12 +566,16 @@
 	seat.flowing++
 	selection.isFlowing = true
 	took := now - selection.sent
+	if selection.unread < learnTokens && !selection.Spill {
+		decider.base = max(0, decider.base+(min(took, 2*decider.base+firstBase)-decider.base)/32)
+	}
 	over := took - selection.Foreseen
 	seat.lag = max(0, seat.lagged(now)*3/4+over/4)
 	seat.lagAt = now
 	if selection.unread > learnTokens && seat.reading == 0 && !selection.Spill {
 		// Alone at its replica, as far as this daemon knows: the prompt took the time.
-		sample := float64(selection.unread) / (float64(took) / float64(time.Millisecond))
+		pairs := float64(selection.unread) * float64(selection.unread) / 2 * eachPair
+		sample := float64(selection.unread) / max(1, float64(took-decider.base)/float64(time.Millisecond)-pairs)
 		decider.readRate = math.Min(mostRate, math.Max(leastRate, decider.rate()+(sample-decider.rate())/16))
 	}
 }
@@ -594,7 +616,7 @@
 }
 
 const (
-	flowSilence  = 250 * time.Millisecond
+	flowSilence  = 400 * time.Millisecond
 	leastSilence = 300 * time.Millisecond
 	silenceTimes = 3
 	firstShun    = 300 * time.Millisecond
@@ -634,7 +656,7 @@
 // Overdue is by when a first piece should have come, counted from the dispatch; after
 // that a request that may run again is worth another replica.
 func (decider *Decider) Overdue(selection *Selection) time.Duration {
-	return leastSilence + silenceTimes*selection.Foreseen
+	return leastSilence + silenceTimes*max(selection.Foreseen, decider.reading(selection.routed.Tokens))
 }
 
 // Doors gives the daemons that callers may go to, those in the zone first, then those
