The forged sight for the cold checker holds for any selection

Cause: it counted on more than two requests a second at one named engine, which the new spreading of short prompts does not give. Ruled out: the checker, which is unchanged. Conclusion: every engine is called cold, by a rate under which two a second are too many.

--- a/fleet/routed_test.go
+++ b/fleet/routed_test.go
@@ -173,14 +173,19 @@
 			return func() { delete(park.Learned, run.Engine+"/"+run.Life) }
 		},
 		"cold": func(*fleet.Facts) func() {
+			// All are called cold, by a rate under which two in a second are too many.
 			for _, run := range park.Runs {
 				run.Cold = true
 			}
-			engine := park.Engines["e-north-1"]
-			before := engine.ColdRate
-			engine.ColdRate = -2
+			before := map[*fleet.Engine]float64{}
+			for _, engine := range park.Engines {
+				before[engine] = engine.ColdRate
+				engine.ColdRate = -8.0 / 3
+			}
 			return func() {
-				engine.ColdRate = before
+				for engine, rate := range before {
+					engine.ColdRate = rate
+				}
 				for _, run := range park.Runs {
 					run.Cold = false
 				}
