--- a/decide/route.go
+++ b/decide/route.go
@@ -150,6 +150,12 @@
 			return nil, mishap
 		}
 		best, next := decider.prospects(view, routed, avoid, now)
+		if best != nil && best.foreseen > time.Duration(hopeless*float64(routed.Expiry-now)) {
+			// It would be given up where it waits, and hold up others meanwhile.
+			mishap := decider.decline(503, "too_late", "no replica can begin to answer in time", min(best.foreseen/2, comeBackMost))
+			decider.guard.Unlock()
+			return nil, mishap
+		}
 		if best != nil {
 			selection := decider.seat(view, routed, best, now)
 			decider.guard.Unlock()
@@ -179,6 +185,9 @@
 	patienceShare = 6
 	mostPatience  = 200 * time.Millisecond
 	comeBackLater = 500 * time.Millisecond
+	comeBackMost  = 2 * time.Second
+	// hopeless is from which part of the caller's time on a first piece comes too late.
+	hopeless = 0.7
 	// comeBackBegun is how long a daemon that began anew takes to get a permit.
 	comeBackBegun = time.Second
 )
@@ -275,8 +284,13 @@
 			// All daemons load the same few replicas with what they may give a trial.
 			one.weight = time.Duration(math.MaxInt64 - int64(trialRank(one.row.Model, one.row.Version, one.place.ID)>>1))
 		case readers[one.place.ID] != isLong:
-			// Less the fuller those are that it should go to.
-			one.weight += time.Duration(float64(strayWeight) * (1 - room.least(one.place.Region, isLong)))
+			// Less the fuller those are that it should go to. A long prompt holds up all the
+			// short ones that come while it is read.
+			if isLong {
+				one.weight += strayLong
+			} else {
+				one.weight += time.Duration(float64(strayWeight) * (1 - room.least(one.place.Region)))
+			}
 		}
 		if best == nil || one.weight < best.weight {
 			best = one
@@ -461,10 +475,7 @@
 }
 
 // least is one where there is none.
-func (fits fits) least(region string, isLong bool) float64 {
-	if isLong {
-		return 0
-	}
+func (fits fits) least(region string) float64 {
 	for _, one := range fits {
 		if one.region == region {
 			return one.filled
@@ -478,6 +489,7 @@
 const (
 	longShare   = 8
 	strayWeight = 250 * time.Millisecond
+	strayLong   = 1200 * time.Millisecond
 )
 
 // lateWeight is what an answer that is foreseen to be late is weighed as.
