--- a/decide/route.go
+++ b/decide/route.go
@@ -489,7 +489,7 @@
 const (
 	longShare   = 8
 	strayWeight = 250 * time.Millisecond
-	strayLong   = 1200 * time.Millisecond
+	strayLong   = 1000 * time.Millisecond
 )
 
 // lateWeight is what an answer that is foreseen to be late is weighed as.
