What one daemon finds of a version on trial or watched, all go by

Ruled out: old standings handed out (the holder had proved it). The daemons' reports name such versions, the standing lists them, and it is not proved before it does.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -760,6 +760,10 @@
 	for region, one := range view.Standings {
 		report.Standing[region] = one.Serial
 	}
+	for version := range decider.judging.failed {
+		report.Failed = append(report.Failed, version)
+	}
+	slices.SortFunc(report.Failed, func(a, b standing.Held) int { return cmp.Compare(a.Model+"|"+a.Version, b.Model+"|"+b.Version) })
 	isSteady := steady(view)
 	for _, one := range ordered(decider.recent(now)) {
 		if isSteady(one.Model) && one.Mishaps+one.Unreached+one.Late == 0 {
--- a/decide/judge.go
+++ b/decide/judge.go
@@ -173,6 +173,11 @@
 			}
 		}
 	}
+	for _, one := range view.Standings {
+		for _, version := range one.Failed {
+			judging.failed[version] = true
+		}
+	}
 	isWhole := true // a region without a standing now may show it again
 	for _, region := range view.Tree.Regions() {
 		_, has := view.Standings[region]
--- a/standing/deal.go
+++ b/standing/deal.go
@@ -262,7 +262,7 @@
 // Same tells whether two standings say the same to data daemons and to the next
 // computation, small steps of warmth aside.
 func Same(a, b Standing) bool {
-	if a.Config != b.Config || a.Duty != b.Duty || a.Daemons != b.Daemons || len(a.Rows) != len(b.Rows) || len(a.Places) != len(b.Places) {
+	if a.Config != b.Config || a.Duty != b.Duty || a.Daemons != b.Daemons || !slices.Equal(a.Failed, b.Failed) || len(a.Rows) != len(b.Rows) || len(a.Places) != len(b.Places) {
 		return false
 	}
 	for index := range a.Rows {
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -71,6 +71,8 @@
 	// Near are recent outcomes that only its own region needs to hear of: whole ones,
 	// of models that no run is about and whose credits nobody deals.
 	Near []Outcome
+	// Failed are the versions on trial or watched that plainly fail by its own counts.
+	Failed []Held
 	// Retries and Allowed count what the retry budget saw and let pass.
 	Demanded, Retries, Allowed uint64
 	Declined                   map[string]uint64
@@ -201,8 +203,12 @@
 	// Daemons is how many data daemons there are that may send here. One that is not
 	// heard of counts for a while, as what it may send can't be known.
 	Daemons int
-	Rows    []Row
-	Places  []Place
+	// Failed are the versions on trial or watched that some data daemon found to fail
+	// plainly: the others need not find out for themselves, least of all anew, after a
+	// time without permits in which their own counts have faded.
+	Failed []Held
+	Rows   []Row
+	Places []Place
 	// Warmth remembers replicas that get nothing now, by id and boot, so that
 	// one that was only out of sight does not count as cold.
 	Warmth map[string]float64
@@ -266,11 +272,27 @@
 			out.Warmth[mark] = warm
 		}
 	}
+	out.Failed = failed(input)
 	number(input, replicas, &out)
 	deal(input, &out)
 	return out
 }
 
+// failed lists what data daemons found of the versions that are on trial or watched.
+func failed(input Input) (out []Held) {
+	for _, daemon := range input.Daemons {
+		for _, one := range daemon.Report.Failed {
+			route := input.Routes[one.Model]
+			isAbout := route.Trial == one.Version || route.Watched && route.Version == one.Version
+			if isAbout && !slices.Contains(out, one) {
+				out = append(out, one)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Held) int { return strings.Compare(a.Model+"|"+a.Version, b.Model+"|"+b.Version) })
+	return out
+}
+
 // number gives every place its slot: the one it had, or the lowest that is free.
 //
 // Invariant: no two places have the same slot, and none has one that is reserved.
