--- a/fleet/faultsrouted.go
+++ b/fleet/faultsrouted.go
@@ -176,8 +176,12 @@
 		park.StartData(name)
 	}, []string{"rerun"}},
 	{"data daemon frozen", false, func(park *Park, _ *Facts) {
-		park.Freeze(park.someData(), 5*time.Second)
-		park.Run(6 * time.Second)
+		// One after the other, so that some request is caught whatever the seed.
+		for _, word := range park.Plan.Datas[:2] {
+			name, _ := split(word)
+			park.Freeze(name, 5*time.Second)
+			park.Run(6 * time.Second)
+		}
 	}, []string{"rerun"}},
 	{"data daemons restarted", true, func(park *Park, _ *Facts) {
 		for _, word := range park.Plan.Datas[:2] {
