Pack configurations and standings, keep the origin at control daemons, exact cold parts

Cause: on the grown fleet each grant, offer and read carried the operator's whole document with its origin, each standing went whole to 88 daemons, members went whole on each change, and each daemon sent a cold replica at least one request a second. Ruled out: a compressor on each connection (its memory times 94); relays within a region (packed text needs none yet). Conclusion: packed in the register, on the way to data daemons packed against what the asker has; members as differences; parts of a cold replica by rank, in sum never above the whole.

--- a/controlplane/http.go
+++ b/controlplane/http.go
@@ -55,7 +55,7 @@
 		if tree == nil {
 			return reply(ctx, map[string]any{"serial": 0}, nil)
 		}
-		out := map[string]any{"serial": serial, "document": config.Document, "evacuated": config.Evacuated}
+		out := map[string]any{"serial": serial, "document": config.Whole(), "evacuated": config.Evacuated}
 		if place, asked := ctx.Queries()["effective"]; asked {
 			leaves, known := effective(tree, place)
 			if !known {
--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -154,7 +154,7 @@
 		return nil, 0, err
 	}
 	_, config, _ := daemon.Office.Current()
-	return config.Document, config.Label(), nil
+	return config.Whole(), config.Label(), nil
 }
 
 // Evacuate takes a zone out of service, or hands it back. Where the zone is so already,
@@ -546,7 +546,7 @@
 	out.Sums = daemon.Compare()
 	_ = daemon.Office.Learn(value)
 	_, config, _ := daemon.Office.Current()
-	out.Document = config.Document
+	out.Document = config.Whole()
 	if out.Models, err = daemon.Handovers(); err != nil {
 		out.Trouble = err.Error()
 	}
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"encoding/json"
 	"errors"
 	"maps"
 	"sort"
@@ -341,10 +340,11 @@
 	}
 	if value := values[keys[0]]; before == nil || before.Serial != value.Serial {
 		var last standing.Standing
-		if value.Serial > 0 && json.Unmarshal(value.Data, &last) != nil {
-			return
+		if value.Serial > 0 {
+			if last, _, err = permit.OpenStanding(value); err != nil {
+				return
+			}
 		}
-		last.Serial = value.Serial
 		region.restore(last)
 		before, written, seeded = &last, now, seeded || len(last.Places) > 0
 	}
@@ -384,7 +384,7 @@
 		region.keep(serial, before, written, now)
 		return
 	}
-	data, err := json.Marshal(next)
+	data, err := permit.PackStanding(next)
 	if err != nil {
 		region.Log.Error("a standing can't be written", zap.Error(err))
 		return
--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,82 @@
+package decide
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"swifttiller/permit"
+	"swifttiller/session"
+	"swifttiller/settings"
+	"swifttiller/sim"
+	"swifttiller/standing"
+)
+
+// TestColdPart: daemons of any number, in three regions, each sending a cold replica all
+// that it may as soon as it may, from an instant of its own, keep within what the replica
+// bears in every second; they use most of it, and those in its region come first.
+func TestColdPart(t *testing.T) {
+	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":24}},"limits":{"cold_excess":1.275}},
+ "engines":{"m":{"probe_path":"/v","cold_ms":3000,"cold_per_s":19,"berths":24}},
+ "regions":{"a":{"zones":{"a-1":{}}},"b":{"zones":{"b-1":{}}},"c":{"zones":{"c-1":{}}}}}`))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	const bound = 24 // 19 x 1.275
+	for _, count := range []int{1, 6, 24, 25, 88} {
+		world := sim.New(uint64(count))
+		world.Start("w", func(*sim.Node) {})
+		place := &standing.Place{ID: "i-1", Boot: "i-1", Region: "b", Zone: "b-1", Warm: 0.1}
+		view := &permit.View{Tree: tree, Standings: map[string]standing.Standing{"b": {Daemons: count}}}
+		for index := range count {
+			region := []string{"a", "b", "c"}[index%3]
+			view.Members = append(view.Members, session.Member{Name: fmt.Sprint("d", index), Role: session.Data, Region: region, Zone: region + "-1"})
+		}
+		var sent []time.Duration
+		byRegion := map[string]int{}
+		for index, member := range view.Members {
+			decider := New(Options{World: world.Node("w"), Self: member, Holder: func() *permit.View { return view }})
+			seat := &engine{}
+			for now := time.Duration(index*137%1000) * time.Millisecond; now < 10*time.Second; now += 7 * time.Millisecond {
+				for decider.paced(view, tree.Engine("m"), place, seat, now) == 0 {
+					seat.sent = append(seat.sent, now)
+					sent = append(sent, now)
+					byRegion[member.Region]++
+				}
+			}
+		}
+		sort.Slice(sent, func(a, b int) bool { return sent[a] < sent[b] })
+		most := 0
+		for from, to := 0, 0; to < len(sent); to++ {
+			for sent[to]-sent[from] >= time.Second {
+				from++
+			}
+			most = max(most, to-from+1)
+		}
+		t.Logf("%d daemons: at most %d in a second, %d in ten, by region %v", count, most, len(sent), byRegion)
+		if most > bound {
+			t.Errorf("%d daemons sent a cold replica %d in a second", count, most)
+		}
+		if len(sent) < 9*bound*9/10 {
+			t.Errorf("%d daemons sent only %d in ten seconds", count, len(sent))
+		}
+		if count == 88 && byRegion["b"] != len(sent) {
+			t.Errorf("%v: the daemons of its own region were enough", byRegion)
+		}
+	}
+	// Where half of the daemons are not heard of, the two halves keep within it together.
+	var halves [2][]session.Member
+	for index := range 88 {
+		halves[index%2] = append(halves[index%2], session.Member{Name: fmt.Sprint("d", index), Role: session.Data, Region: "b"})
+	}
+	sum := 0
+	for _, half := range halves {
+		for _, one := range half {
+			sum += coldPart(bound, half, one, &standing.Place{ID: "i-1", Region: "b"}, 88)
+		}
+	}
+	if sum > bound || sum < bound/2 {
+		t.Errorf("two halves that do not hear of each other may send %d", sum)
+	}
+}
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -68,7 +68,10 @@
 	lag   time.Duration
 	lagAt time.Duration
 	// sent are the times of the last dispatches, for the bound of a cold replica.
-	sent   []time.Duration
+	sent []time.Duration
+	// part is this daemon's part of what the replica may be sent while it is cold; nil
+	// while it is warm.
+	part   *part
 	silent time.Duration
 	waits  int
 	// shunned is until when the replica gets nothing, for a mishap of its connections;
--- a/decide/route.go
+++ b/decide/route.go
@@ -288,28 +288,73 @@
 // paced gives how long a replica is to be left alone, as it is cold and this daemon's
 // part of what it bears then is used up; zero when it may get a request.
 //
-// Invariant: over every second, all data daemons together send a cold replica at most
-// ColdRate times cold_excess, and one each, as each goes by an even part.
+// Invariant: over every second, all data daemons that know of each other send a cold
+// replica at most ColdRate times cold_excess together, and one where that is below one.
 func (decider *Decider) paced(view *permit.View, known *settings.Engine, place *standing.Place, seat *engine, now time.Duration) time.Duration {
 	if known == nil || known.ColdRate <= 0 || place.Warm >= 1 && !view.Unkept[place.Region] {
+		seat.part = nil
 		return 0
 	}
-	daemons := 0
-	for _, one := range view.Members {
-		if one.Role == session.Data {
-			daemons++
+	if seat.part == nil || seat.part.of != view {
+		daemons := 0
+		for _, one := range view.Standings {
+			daemons = max(daemons, one.Daemons)
 		}
+		whole := max(1, int(known.ColdRate*view.Tree.Limit("cold_excess", decider.Self.Zone)))
+		seat.part = &part{view, coldPart(whole, view.Members, decider.Self, place, daemons)}
 	}
-	for _, one := range view.Standings {
-		daemons = max(daemons, one.Daemons)
-	}
-	most := max(1, int(known.ColdRate*view.Tree.Limit("cold_excess", decider.Self.Zone)/float64(max(1, daemons))))
-	if seat.sentWithin(now, time.Second) < most {
+	most := seat.part.most
+	switch {
+	case most == 0:
+		return othersOnly
+	case seat.sentWithin(now, time.Second) < most:
 		return 0
 	}
 	return time.Second - (now - seat.sent[len(seat.sent)-most])
 }
 
+// othersOnly is for how long a daemon without a part of a cold replica leaves it alone,
+// unless it hears otherwise: longer than any request waits.
+const othersOnly = time.Hour
+
+// part is what a daemon may send to a cold replica in a second, by a view.
+type part struct {
+	of   *permit.View
+	most int
+}
+
+// coldPart is this daemon's part of the whole that a cold replica may be sent in a
+// second: as even as can be, and the rest by the daemons' ranks, those of the replica's
+// own region first. Daemons counts also those that are not members but may still send:
+// what their ranks would bring is given to nobody.
+//
+// Invariant: the parts of daemons that go by the same members sum up to no more than the
+// whole, however many they are.
+func coldPart(whole int, members []session.Member, self session.Member, place *standing.Place, daemons int) int {
+	key := nameKey(place.ID + "/" + place.Boot)
+	isNear, own := self.Region == place.Region, score(key, self.Name)
+	rank, count := 0, 1
+	for _, one := range members {
+		if one.Role != session.Data || one.Name == self.Name {
+			continue
+		}
+		count++
+		near, other := one.Region == place.Region, score(key, one.Name)
+		if near != isNear && near || near == isNear && (other > own || other == own && one.Name < self.Name) {
+			rank++
+		}
+	}
+	all := max(count, daemons)
+	out := whole / all
+	if rank < whole%all*count/all {
+		out++
+	}
+	return out
+}
+
+// nameKey is a number for a name.
+func nameKey(name string) uint64 { return score(0, name) }
+
 // places finds a region's places by their replicas. Rows come in the order of places,
 // nearly always, so that what is wanted mostly stands next.
 type places struct {
--- a/fleet/replace_test.go
+++ b/fleet/replace_test.go
@@ -21,7 +21,9 @@
 // labelled is the plan's document under a label; the mark tells documents of one label
 // apart.
 func labelled(park *fleet.Park, label uint64, mark string) []byte {
-	return []byte(strings.Replace(park.Document, "{", fmt.Sprintf(`{"label":%d,"origin":{ "mark":%q},`, label, mark), 1))
+	document := strings.Replace(park.Document, "{", fmt.Sprintf(`{"label":%d,`, label), 1)
+	last := strings.LastIndex(document, "}")
+	return []byte(document[:last] + fmt.Sprintf(`,"origin":{ "mark":%q}}`, mark))
 }
 
 // ordering is a calm fleet without callers.
@@ -49,7 +51,7 @@
 			return err
 		}
 		_, config, _ = daemon.Office.Current()
-		if label = read; string(document) != string(config.Document) {
+		if label = read; string(document) != string(config.Whole()) {
 			return errors.New("the document is not that of the configuration")
 		}
 		return nil
@@ -103,8 +105,8 @@
 			t.Error("order:", what, "is not told so")
 		}
 	}
-	if label, config := newest(t, park, "c3"); label != 3 || string(config.Document) != tight(third) {
-		t.Errorf("label %d, %s", label, config.Document)
+	if label, config := newest(t, park, "c3"); label != 3 || string(config.Whole()) != tight(third) {
+		t.Errorf("label %d, %s", label, config.Whole())
 	}
 	if _, err := replace(park, "c3", fifth, 3); err != nil {
 		t.Error(err)
@@ -112,8 +114,8 @@
 	if _, err := replace(park, "c1", third, 0); err != nil {
 		t.Error("a repeat after a newer one:", err)
 	}
-	if label, config := newest(t, park, "c2"); label != 5 || string(config.Document) != tight(fifth) {
-		t.Errorf("label %d, %s", label, config.Document)
+	if label, config := newest(t, park, "c2"); label != 5 || string(config.Whole()) != tight(fifth) {
+		t.Errorf("label %d, %s", label, config.Whole())
 	}
 	// What is remembered is bounded.
 	for label := uint64(6); label < 6+permit.Remembered; label++ {
@@ -247,7 +249,7 @@
 		if errs[winner] != nil || !isOutdated(errs[1-winner], labels[winner], 0) {
 			t.Errorf("seed %d: %v, %v", seed, errs[0], errs[1])
 		}
-		if label, config := newest(t, park, "c3"); label != labels[winner] || !strings.Contains(string(config.Document), fmt.Sprintf(`"mark":"c%d"`, winner+1)) {
+		if label, config := newest(t, park, "c3"); label != labels[winner] || !strings.Contains(string(config.Whole()), fmt.Sprintf(`"mark":"c%d"`, winner+1)) {
 			t.Errorf("seed %d: label %d stands, and c%d's was taken", seed, label, winner+1)
 		}
 		once(t, park)
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -1,7 +1,9 @@
 package permit
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +17,7 @@
 // Offer tells a holder of a decided configuration.
 type Offer struct {
 	Serial uint64
-	Config Config
+	Config []byte // packed
 }
 
 // Taken is the holder's answer: what it applies from now on.
@@ -32,7 +34,7 @@
 // to date since: what replicas have become meanwhile nobody told this daemon.
 type View struct {
 	Serial    uint64
-	Config    Config
+	Config    Config // as data daemons are told it
 	Tree      *settings.Tree
 	Evacuated map[string]bool
 	Standings map[string]standing.Standing
@@ -48,6 +50,7 @@
 	sum     uint64
 	told    time.Duration
 	listed  time.Duration
+	texts   map[string]text // of the standings that came last, by region
 }
 
 // Stands tells whether the permit lets the daemon serve at the time.
@@ -136,7 +139,9 @@
 		ask.Members = have.sum
 	}
 	for region, one := range have.Standings {
-		ask.Standings[region] = one.Serial
+		if have.texts[region].serial == one.Serial {
+			ask.Standings[region] = one.Serial
+		}
 	}
 	reply, err := holder.Client.Ask("Permit.Renew", ask, func() any { return new(Grant) }, func(reply any) bool { return reply.(*Grant).Declined == "" }, holder.span()/2)
 	if err != nil {
@@ -158,7 +163,7 @@
 	have := holder.View()
 	next := *have
 	if grant.Config != nil && grant.Serial > have.Serial {
-		if !next.adopt(grant.Serial, *grant.Config) {
+		if !next.adopt(grant.Serial, grant.Config) {
 			holder.guard.Unlock()
 			return false
 		}
@@ -175,15 +180,25 @@
 			next.Standings[region] = one
 		}
 	}
-	for _, one := range grant.Standings {
-		if one.Serial > next.Standings[one.Region].Serial {
-			next.Standings[one.Region] = one
+	next.texts = maps.Clone(have.texts)
+	if next.texts == nil {
+		next.texts = map[string]text{}
+	}
+	for _, told := range grant.Standings {
+		if told.Serial > next.Standings[told.Region].Serial {
+			if one, isRead := next.open(told); isRead {
+				next.Standings[one.Region] = one
+			} else {
+				delete(grant.Kept, told.Region) // what it has is not what was found to be kept
+			}
 		}
 	}
 	next.Unkept = map[string]bool{}
-	for _, one := range grant.Unkept {
-		if have, known := next.Standings[one.Region]; !known || one.Serial > have.Serial {
-			next.Standings[one.Region] = one
+	for _, told := range grant.Unkept {
+		if have, known := next.Standings[told.Region]; !known || told.Serial > have.Serial {
+			if one, isRead := next.open(told); isRead {
+				next.Standings[one.Region] = one
+			}
 		}
 	}
 	for region := range next.Standings {
@@ -198,15 +213,8 @@
 	for region, age := range grant.Kept {
 		next.Kept[region] = max(next.Kept[region], asked-age)
 	}
-	if next.told = holder.World.Now(); grant.Members != nil || grant.Sum != have.sum {
-		next.Members, next.sum, next.listed = grant.Members, grant.Sum, next.told
-	} else {
-		// The same incarnations: each has been up for as much longer.
-		next.Members = slices.Clone(have.Members)
-		for index := range next.Members {
-			next.Members[index].Uptime += next.told - have.told
-		}
-	}
+	next.told = holder.World.Now()
+	next.enlist(have, grant)
 	next.Expiry = max(have.Expiry, asked+grant.Length)
 	holder.view.Store(&next)
 	holder.guard.Unlock()
@@ -216,8 +224,41 @@
 	return true
 }
 
+// enlist sets the members of a view that is not shown yet.
+func (view *View) enlist(have *View, grant *Grant) {
+	isWhole := grant.Base == 0 && (grant.Members != nil || grant.Sum != have.sum)
+	if isWhole {
+		view.Members, view.sum, view.listed = grant.Members, grant.Sum, view.told
+		return
+	}
+	isOut := map[string]bool{}
+	for _, name := range grant.Gone {
+		isOut[name] = true
+	}
+	for _, one := range grant.Members {
+		isOut[one.Name] = true
+	}
+	view.Members = append(make([]session.Member, 0, len(have.Members)+len(grant.Members)), grant.Members...)
+	for _, one := range have.Members {
+		if !isOut[one.Name] {
+			// The same incarnation: it has been up for as much longer.
+			one.Uptime += view.told - have.told
+			view.Members = append(view.Members, one)
+		}
+	}
+	slices.SortFunc(view.Members, func(a, b session.Member) int { return strings.Compare(a.Name, b.Name) })
+	view.sum = grant.Sum
+	if grant.Base != 0 && (grant.Base != have.sum || session.Sum(view.Members) != grant.Sum) {
+		view.sum = 0 // another list came meanwhile: the next ask brings the whole one
+	}
+}
+
 // adopt sets the configuration of a view that is not shown yet.
-func (view *View) adopt(serial uint64, config Config) bool {
+func (view *View) adopt(serial uint64, packed []byte) bool {
+	config, err := Unpack(packed)
+	if err != nil {
+		return false
+	}
 	tree, problems := settings.Parse(config.Document)
 	if len(problems) > 0 {
 		return false
--- a/permit/office.go
+++ b/permit/office.go
@@ -31,8 +31,12 @@
 
 // Config is what the configuration's register holds. Its serial is the
 // register's.
+//
+// Invariant: Document has no origin of its own; what it was made from is Origin, which
+// never goes to data daemons.
 type Config struct {
 	Document  json.RawMessage `json:"document"`
+	Origin    json.RawMessage `json:"origin,omitempty"`
 	Evacuated []string        `json:"evacuated,omitempty"`
 	// Taken are the last documents that were taken under a label, newest last.
 	Taken []Mark `json:"taken,omitempty"`
@@ -49,7 +53,7 @@
 // Take gives the configuration with another document, which is remembered by its mark if
 // it has one. Evacuations stay.
 func (config Config) Take(document []byte, mark Mark) Config {
-	config.Document = document
+	config.Document, config.Origin = apart(document)
 	if mark != "" {
 		config.Taken = append(slices.Clone(config.Taken), mark)
 		config.Taken = config.Taken[max(0, len(config.Taken)-Remembered):]
@@ -88,18 +92,21 @@
 // Grant is the permit. Its length counts from before the ask was sent.
 type Grant struct {
 	Serial    uint64
-	Config    *Config // when newer than the asker's
-	Standings []standing.Standing
+	Config    []byte // packed, when newer than the asker's
+	Standings []Told
 	// Kept are the regions whose standing, as the asker has it now, is kept up to
 	// date, and how long ago that was found: only these are handed out.
 	Kept map[string]time.Duration
 	// Unkept are the last standings of regions where nobody keeps them up to date now.
-	Unkept []standing.Standing
+	Unkept []Told
 	// Members are left out if the asker has them already, as their sum tells. What
-	// control daemons tell only each other is not in them.
-	Members []session.Member
-	Sum     uint64
-	Length  time.Duration
+	// control daemons tell only each other is not in them. If Base is not zero, they
+	// are those that are not in the members of that sum, which the asker has, and Gone
+	// the names of those that no longer are.
+	Members   []session.Member
+	Gone      []string
+	Base, Sum uint64
+	Length    time.Duration
 	// Declined says why there is none.
 	Declined string
 }
@@ -122,6 +129,8 @@
 	serial uint64
 	config Config
 	tree   *settings.Tree
+	// packed is what data daemons are told of config; nil until the first is.
+	packed []byte
 	// retiring is since when a holder has been without a session.
 	retiring map[string]time.Duration
 	granted  uint64
@@ -130,6 +139,8 @@
 	acknowledged uint64
 	// standings are those last read, by region; they are never changed.
 	standings map[string]standing.Standing
+	stacks    map[string]*stack // their texts, by region
+	rolls     rolls             // members that were told last
 }
 
 // Current is the newest configuration that this daemon has read.
@@ -157,8 +168,8 @@
 	if known {
 		return nil
 	}
-	var config Config
-	if err := json.Unmarshal(value.Data, &config); err != nil {
+	config, err := opened(value)
+	if err != nil {
 		return fmt.Errorf("the configuration's register can't be read: %w", err)
 	}
 	tree, problems := settings.Parse(config.Document)
@@ -168,11 +179,31 @@
 	office.guard.Lock()
 	defer office.guard.Unlock()
 	if value.Serial > office.serial {
-		office.serial, office.config, office.tree = value.Serial, config, tree
+		office.serial, office.config, office.tree, office.packed = value.Serial, config, tree, nil
 	}
 	return nil
 }
 
+var errNewer = errors.New("the configuration has changed")
+
+// told gives what data daemons are told of the configuration under the serial, packed
+// once. The error is errNewer when this office knows a newer one.
+func (office *Office) told(serial uint64) ([]byte, error) {
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	if office.serial != serial {
+		return nil, errNewer
+	}
+	if office.packed == nil {
+		packed, err := office.config.shown().Pack()
+		if err != nil {
+			return nil, err
+		}
+		office.packed = packed
+	}
+	return office.packed, nil
+}
+
 // Refresh reads the configuration.
 func (office *Office) Refresh() error {
 	value, err := office.Keeper.Read(ConfigKey)
@@ -218,7 +249,7 @@
 			grant.Declined = err.Error()
 			return nil
 		}
-		serial, config, fresh := office.Current()
+		serial, _, fresh := office.Current()
 		if tree == nil || strings.Join(fresh.Regions(), " ") != strings.Join(tree.Regions(), " ") {
 			tree = fresh
 			continue // other regions: read their standings too
@@ -227,7 +258,9 @@
 		// a later grant can't be older than an earlier one.
 		grant.Serial, grant.Kept = serial, map[string]time.Duration{}
 		if serial > ask.Config {
-			grant.Config = &config
+			if grant.Config, err = office.told(serial); err != nil {
+				continue // it has changed meanwhile
+			}
 		}
 		for _, region := range fresh.Regions() {
 			value := values[StandingPrefix+region]
@@ -235,7 +268,6 @@
 			if slices.Contains(open, StandingPrefix+region) {
 				// It is being written: the one before stands until that is done.
 				one, isRead = office.settled(region)
-				value.Serial = one.Serial
 			}
 			// A standing that nobody keeps may be from before everything went
 			// down; its replicas may be cold by now.
@@ -243,25 +275,28 @@
 				continue
 			}
 			age, isKept := office.Kept(region, one)
-			if !isKept {
-				// Daemons that may serve alone would rather go by this than by none.
-				if fresh.Limit("alone_ms", "") > 0 && value.Serial > ask.Standings[region] {
-					grant.Unkept = append(grant.Unkept, one)
+			if one.Serial <= ask.Standings[region] {
+				if isKept {
+					grant.Kept[region] = age
 				}
 				continue
 			}
-			grant.Kept[region] = age
-			if value.Serial > ask.Standings[region] {
-				grant.Standings = append(grant.Standings, one)
+			told, isTold := office.tell(one, ask.Standings[region])
+			switch {
+			case isKept && isTold:
+				grant.Kept[region] = age
+				grant.Standings = append(grant.Standings, told)
+			case isTold && fresh.Limit("alone_ms", "") > 0:
+				// Daemons that may serve alone would rather go by this than by none.
+				grant.Unkept = append(grant.Unkept, told)
 			}
 		}
+		var members []session.Member
 		for _, one := range office.Table.Live("") {
 			one.Member.Duties, one.Member.Keeps = nil, nil
-			grant.Members = append(grant.Members, one.Member)
-		}
-		if grant.Sum = session.Sum(grant.Members); grant.Sum == ask.Members {
-			grant.Members = nil
+			members = append(members, one.Member)
 		}
+		office.list(members, ask.Members, grant)
 		grant.Length = fresh.Span("permit_ms", "")
 		// A daemon that slept between its readings may hold a configuration that
 		// was replaced long ago; the holder counts from before it asked, so such
@@ -284,16 +319,20 @@
 	office.guard.Lock()
 	have, known := office.standings[region]
 	office.guard.Unlock()
-	if known && value.Serial > 0 && have.Serial == value.Serial {
-		return have, true
+	if known && value.Serial > 0 && have.Serial >= value.Serial {
+		return have, true // a newer one was decided before now, too
 	}
 	var one standing.Standing
-	if value.Serial == 0 || json.Unmarshal(value.Data, &one) != nil {
+	if value.Serial == 0 {
+		return one, false
+	}
+	one, text, err := OpenStanding(value)
+	if err != nil {
 		return one, false
 	}
-	one.Serial = value.Serial
 	office.guard.Lock()
 	defer office.guard.Unlock()
+	office.stack(region, value.Serial, text)
 	if office.standings == nil {
 		office.standings = map[string]standing.Standing{}
 	}
@@ -362,17 +401,15 @@
 		if expect != nil && *expect != value.Serial {
 			return nil, &register.Stale{Key: ConfigKey, Have: value.Serial, Want: *expect}
 		}
-		var have Config
-		if value.Serial > 0 {
-			if err := json.Unmarshal(value.Data, &have); err != nil {
-				return nil, err
-			}
+		have, err := opened(value)
+		if err != nil {
+			return nil, err
 		}
 		next, err := revise(have)
 		if err != nil {
 			return nil, err
 		}
-		return json.Marshal(next)
+		return next.Pack()
 	})
 	if err != nil && !errors.Is(err, ErrSame) {
 		return Applied{Serial: value.Serial}, err
@@ -380,8 +417,8 @@
 	decided := office.World.Now()
 	// The value may be a later change's that has this one beneath it, so what is
 	// offered under its serial is read from it.
-	var next Config
-	if err := json.Unmarshal(value.Data, &next); err != nil {
+	next, err := opened(value)
+	if err != nil {
 		return Applied{Serial: value.Serial}, err
 	}
 	serial, _, before := office.Current()
@@ -395,23 +432,29 @@
 	}
 	if under.Serial > serial && under.Serial < value.Serial {
 		// Permits were granted under it that this office has not seen.
-		var have Config
-		if json.Unmarshal(under.Data, &have) == nil {
+		if have, err := opened(under); err == nil {
 			if tree, problems := settings.Parse(have.Document); len(problems) == 0 {
 				length = max(length, tree.Span("permit_ms", ""))
 			}
 		}
 	}
 	length += time.Duration(Drift * float64(length))
-	return office.acknowledge(value, next, decided, length), nil
+	packed, err := office.told(value.Serial)
+	if errors.Is(err, errNewer) {
+		packed, err = next.shown().Pack()
+	}
+	if err != nil {
+		return Applied{Serial: value.Serial}, err
+	}
+	return office.acknowledge(value, packed, decided, length), nil
 }
 
 // acknowledge tells the holders and waits for them, until the expiry of permits under
 // older configurations at the latest, whatever else does not answer.
-func (office *Office) acknowledge(value register.Value, config Config, decided, length time.Duration) Applied {
+func (office *Office) acknowledge(value register.Value, packed []byte, decided, length time.Duration) Applied {
 	applied := Applied{Serial: value.Serial}
 	expiry := decided + length
-	offer := Offer{Serial: value.Serial, Config: config}
+	offer := Offer{Serial: value.Serial, Config: packed}
 	done := map[string]bool{}
 	var holders map[string]Record
 	for !office.isAcknowledged(value.Serial) {
--- /dev/null
+++ b/permit/pack.go
@@ -0,0 +1,120 @@
+package permit
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/tidwall/gjson"
+
+	"swifttiller/register"
+)
+
+// mostUnpacked bounds what is unpacked, in bytes: the largest document that is read of
+// an operator, twice, and some more.
+const mostUnpacked = 80 << 20
+
+// pack makes text small. What the reader has already, base, may be nil; the more of the
+// text stands in the last 32 KiB of it, the smaller the text gets.
+func pack(text, base []byte) []byte {
+	var out bytes.Buffer
+	writer, err := flate.NewWriterDict(&out, flate.DefaultCompression, base)
+	if err != nil {
+		panic(err) // the level is a known one
+	}
+	_, _ = writer.Write(text) // a buffer takes all
+	_ = writer.Close()
+	return out.Bytes()
+}
+
+// unpack gives the text back, from the same base.
+func unpack(packed, base []byte) ([]byte, error) {
+	reader := flate.NewReaderDict(bytes.NewReader(packed), base)
+	text, err := io.ReadAll(io.LimitReader(reader, mostUnpacked+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("what came packed can't be read: %w", err)
+	case len(text) > mostUnpacked:
+		return nil, fmt.Errorf("what came packed has more than %d bytes", mostUnpacked)
+	}
+	return text, nil
+}
+
+// Pack gives the configuration as the register holds it, and as it travels.
+func (config Config) Pack() ([]byte, error) {
+	text, err := json.Marshal(config)
+	if err != nil {
+		return nil, err
+	}
+	return pack(text, nil), nil
+}
+
+// Unpack reads a packed configuration, or one in plain JSON. The error tells what is
+// wrong with it.
+func Unpack(packed []byte) (config Config, err error) {
+	text := packed
+	if len(packed) == 0 || packed[0] != '{' { // no packed text begins so
+		if text, err = unpack(packed, nil); err != nil {
+			return config, err
+		}
+	}
+	return config, json.Unmarshal(text, &config)
+}
+
+// shown is the part of the configuration that data daemons go by.
+func (config Config) shown() Config {
+	return Config{Document: config.Document, Evacuated: config.Evacuated}
+}
+
+// Whole is the document with what it was made from, as it was taken.
+func (config Config) Whole() json.RawMessage {
+	if len(config.Origin) == 0 || len(config.Document) == 0 {
+		return config.Document
+	}
+	var out bytes.Buffer
+	out.Grow(len(config.Document) + len(config.Origin) + 16)
+	out.Write(bytes.TrimRight(config.Document, " \t\r\n"))
+	out.Truncate(out.Len() - 1) // the closing brace
+	if bytes.ContainsRune(config.Document, ':') {
+		out.WriteByte(',')
+	}
+	out.WriteString(`"origin":`)
+	out.Write(config.Origin)
+	out.WriteByte('}')
+	return out.Bytes()
+}
+
+// apart takes what a document was made from out of it.
+func apart(document []byte) (rest, origin json.RawMessage) {
+	found := gjson.GetBytes(document, "origin")
+	if !found.Exists() {
+		return document, nil
+	}
+	var out bytes.Buffer
+	out.Grow(len(document) - len(found.Raw))
+	out.WriteByte('{')
+	gjson.ParseBytes(document).ForEach(func(key, value gjson.Result) bool {
+		if key.Str == "origin" {
+			return true
+		}
+		if out.Len() > 1 {
+			out.WriteByte(',')
+		}
+		out.WriteString(key.Raw)
+		out.WriteByte(':')
+		out.WriteString(value.Raw)
+		return true
+	})
+	out.WriteByte('}')
+	return out.Bytes(), json.RawMessage(found.Raw)
+}
+
+// opened reads the configuration that a register holds; none where nothing was written.
+func opened(value register.Value) (config Config, err error) {
+	if value.Serial == 0 {
+		return config, nil
+	}
+	return Unpack(value.Data)
+}
--- /dev/null
+++ b/permit/told.go
@@ -0,0 +1,182 @@
+package permit
+
+import (
+	"encoding/json"
+
+	"swifttiller/register"
+	"swifttiller/session"
+	"swifttiller/standing"
+)
+
+// Told is a region's standing on its way to a data daemon: its text packed against the
+// text of an older one, which the asker has under the serial Base; zero for none.
+type Told struct {
+	Region       string
+	Serial, Base uint64
+	Packed       []byte
+}
+
+// PackStanding gives a standing as its register holds it.
+func PackStanding(one standing.Standing) ([]byte, error) {
+	text, err := json.Marshal(one)
+	if err != nil {
+		return nil, err
+	}
+	return pack(text, nil), nil
+}
+
+// OpenStanding reads a standing from its register, which must have been written, and
+// gives its text, too.
+func OpenStanding(value register.Value) (one standing.Standing, text []byte, err error) {
+	text = value.Data
+	if len(text) == 0 || text[0] != '{' { // no packed text begins so
+		if text, err = unpack(value.Data, nil); err != nil {
+			return one, nil, err
+		}
+	}
+	if err = json.Unmarshal(text, &one); err != nil {
+		return one, nil, err
+	}
+	one.Serial = value.Serial
+	return one, text, nil
+}
+
+// stacked is how many texts of a region's standings an office keeps.
+const stacked = 8
+
+// stack keeps the texts of a region's last standings.
+//
+// Invariant: serials rise; packed has what was told of the last one, by base.
+type stack struct {
+	serials []uint64
+	texts   [][]byte
+	packed  map[uint64][]byte
+}
+
+// stack keeps a text; who holds the guard calls it.
+func (office *Office) stack(region string, serial uint64, text []byte) {
+	if office.stacks == nil {
+		office.stacks = map[string]*stack{}
+	}
+	one := office.stacks[region]
+	if one == nil {
+		one = &stack{}
+		office.stacks[region] = one
+	}
+	if len(one.serials) > 0 && one.serials[len(one.serials)-1] >= serial {
+		return
+	}
+	one.serials, one.texts, one.packed = append(one.serials, serial), append(one.texts, text), map[uint64][]byte{}
+	if over := len(one.serials) - stacked; over > 0 {
+		one.serials, one.texts = append([]uint64{}, one.serials[over:]...), append([][]byte{}, one.texts[over:]...)
+	}
+}
+
+// tell packs a standing for one who has an older one; false if its text is not kept.
+func (office *Office) tell(one standing.Standing, has uint64) (Told, bool) {
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	have := office.stacks[one.Region]
+	if have == nil || have.serials[len(have.serials)-1] != one.Serial {
+		return Told{}, false
+	}
+	var base []byte
+	out := Told{Region: one.Region, Serial: one.Serial}
+	for at, serial := range have.serials {
+		if serial == has && has < one.Serial {
+			base, out.Base = have.texts[at], has
+		}
+	}
+	if have.packed[out.Base] == nil {
+		have.packed[out.Base] = pack(have.texts[len(have.texts)-1], base)
+	}
+	out.Packed = have.packed[out.Base]
+	return out, true
+}
+
+// open reads what was told, by the texts that the view has, and keeps the new text.
+func (view *View) open(told Told) (one standing.Standing, isRead bool) {
+	var base text
+	if told.Base > 0 {
+		if base = view.texts[told.Region]; base.serial != told.Base {
+			return one, false
+		}
+	}
+	fresh, err := unpack(told.Packed, base.text)
+	if err != nil || json.Unmarshal(fresh, &one) != nil || one.Region != told.Region {
+		return one, false
+	}
+	one.Serial = told.Serial
+	view.texts[told.Region] = text{told.Serial, fresh}
+	return one, true
+}
+
+// text is a standing as its register held it under the serial.
+type text struct {
+	serial uint64
+	text   []byte
+}
+
+// rolled is how many lists of members an office keeps.
+const rolled = 16
+
+// rolls are the lists of members that were told last, newest last.
+type rolls []roll
+
+type roll struct {
+	sum   uint64
+	marks map[string]session.Member // by name, with nothing that the sum is not over
+}
+
+// marked is the member with nothing that a sum of members is not over.
+func marked(member session.Member) session.Member {
+	member.Uptime, member.Duties, member.Keeps = 0, nil, nil
+	return member
+}
+
+// same tells whether two members that were marked are the same.
+func same(a, b session.Member) bool {
+	return session.Sum([]session.Member{a}) == session.Sum([]session.Member{b})
+}
+
+// list puts into a grant what the asker lacks of the members.
+func (office *Office) list(members []session.Member, has uint64, grant *Grant) {
+	grant.Sum = session.Sum(members)
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	var before *roll
+	isKept := false
+	for at := range office.rolls {
+		if one := &office.rolls[at]; one.sum == has {
+			before = one
+		}
+		isKept = isKept || office.rolls[at].sum == grant.Sum
+	}
+	if !isKept {
+		fresh := roll{grant.Sum, make(map[string]session.Member, len(members))}
+		for _, one := range members {
+			fresh.marks[one.Name] = marked(one)
+		}
+		office.rolls = append(office.rolls, fresh)
+		office.rolls = office.rolls[max(0, len(office.rolls)-rolled):]
+	}
+	switch {
+	case has == grant.Sum:
+	case before == nil:
+		grant.Members = members
+	default:
+		grant.Base = has
+		now := make(map[string]bool, len(members))
+		for _, one := range members {
+			now[one.Name] = true
+			if was, known := before.marks[one.Name]; !known || !same(was, marked(one)) {
+				grant.Members = append(grant.Members, one)
+			}
+		}
+		for name := range before.marks {
+			if !now[name] {
+				grant.Gone = append(grant.Gone, name)
+			}
+		}
+	}
+}
