fleet scale: real daemons beside hollow ones, counted at many sizes

The command starts real control and data daemons, runs the product's own data daemons with no callers in one process and lists hollow replicas. Disk syncs stand with the counters.

--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -32,7 +32,7 @@
 	}
 	options := controlplane.Options{
 		World: process.World, Net: process.Net, Process: *process.Process, Live: process.Live, Folder: folder, Incarnation: process.Incarnation,
-		Replicas: &replica.HTTP{World: process.World}, Platform: listing.HTTP{}, Log: process.Log,
+		Replicas: &replica.HTTP{World: process.World}, Platform: listing.HTTP{}, Log: process.Log, Counter: process.Net.Counter,
 	}
 	_, isDeployed := platform.Deployed()
 	if isDeployed {
--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -41,6 +41,8 @@
 	Dialect  replica.Dialect
 	Platform listing.Client
 	Log      *zap.Logger
+	// Counter, if set, is what Net counts its calls with.
+	Counter *wire.Counter
 	// Point is told of numbered points, for faults in tests.
 	Point func(name string)
 }
--- a/controlplane/http.go
+++ b/controlplane/http.go
@@ -177,8 +177,15 @@
 	for range local.Regions {
 		held++
 	}
-	return map[string]any{
+	out := map[string]any{
 		"config_serial": local.Serial, "core_epoch": local.Core.Epoch, "sessions": live, "duties_held": held,
 		"permits_granted": local.Granted, "cells_mended": local.Mended, "rounds": local.Rounds, "duty_changes": local.Changes,
 	}
+	if local.Acceptor != nil {
+		out["disk_syncs"] = local.Acceptor.Disk.Syncs
+	}
+	if daemon.Counter != nil {
+		out["calls"] = daemon.Counter.Snapshot()
+	}
+	return out
 }
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swifttiller/loop"
@@ -118,6 +119,7 @@
 	writing    bool
 	broken     error
 	lastSync   time.Duration
+	syncs      atomic.Uint64
 	torn       bool
 }
 
@@ -257,6 +259,7 @@
 	if _, err := store.log.Write(opening); err != nil {
 		return err
 	}
+	store.syncs.Add(2)
 	if err := store.log.Sync(); err != nil {
 		return err
 	}
@@ -342,6 +345,7 @@
 	if _, err := store.log.Write(all); err != nil {
 		return err
 	}
+	store.syncs.Add(1)
 	return store.log.Sync()
 }
 
@@ -358,6 +362,7 @@
 	if _, err = slot.Write(frame(slotMagic, next, 0, value)); err != nil {
 		return err
 	}
+	store.syncs.Add(2)
 	if err = slot.Sync(); err != nil {
 		return err
 	}
@@ -379,6 +384,8 @@
 type Vitals struct {
 	Broken   string
 	LastSync time.Duration
+	// Syncs are those asked of the disk since the store was opened, folders' included.
+	Syncs    uint64
 	TornTail bool
 }
 
@@ -386,7 +393,7 @@
 func (store *Store) Vitals() Vitals {
 	store.guard.Lock()
 	defer store.guard.Unlock()
-	vitals := Vitals{LastSync: store.lastSync, TornTail: store.torn}
+	vitals := Vitals{LastSync: store.lastSync, Syncs: store.syncs.Load(), TornTail: store.torn}
 	if store.broken != nil {
 		vitals.Broken = store.broken.Error()
 	}
--- /dev/null
+++ b/fleet/scale.go
@@ -0,0 +1,779 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"swifttiller/dataplane"
+	"swifttiller/loop"
+	"swifttiller/settings"
+	"swifttiller/wire"
+)
+
+// ScaleSize is the size of a fleet of which a part is hollow.
+type ScaleSize struct {
+	Datas    int `json:"datas"`
+	Replicas int `json:"replicas"`
+	Regions  int `json:"regions"`
+	Zones    int `json:"zones"`
+	Routes   int `json:"routes"`
+	Models   int `json:"models"`
+	Controls int `json:"controls"`
+}
+
+// dimensions are what a size is made of, by name.
+func (size *ScaleSize) dimensions() map[string]*int {
+	return map[string]*int{"datas": &size.Datas, "replicas": &size.Replicas, "regions": &size.Regions, "zones": &size.Zones, "routes": &size.Routes, "models": &size.Models, "controls": &size.Controls}
+}
+
+// With gives the size with one of its dimensions changed; false when it has none of
+// that name. Zones follow regions where those are more.
+func (size ScaleSize) With(dimension string, value int) (ScaleSize, bool) {
+	place, known := size.dimensions()[dimension]
+	if known {
+		*place = value
+		if dimension == "regions" {
+			size.Zones = max(size.Zones, value)
+		}
+	}
+	return size, known
+}
+
+// Check gives what is wrong with a size.
+func (size ScaleSize) Check() error {
+	for _, name := range slices.Sorted(maps.Keys(size.dimensions())) {
+		if value := *size.dimensions()[name]; value < 1 || value > 25000 {
+			return fmt.Errorf("%s is %d, which is not within 1 to 25000", name, value)
+		}
+	}
+	switch {
+	case size.Datas < ScaleReal+1 || size.Datas > 1000:
+		return fmt.Errorf("datas is %d, which is not within %d to 1000", size.Datas, ScaleReal+1)
+	case size.Controls > 9:
+		return fmt.Errorf("controls is %d: more than 9 real processes of them are not started", size.Controls)
+	case size.Regions > 64 || size.Zones < size.Regions || size.Zones > 256:
+		return errors.New("regions are at most 64, and zones no fewer than they and at most 256")
+	case size.Replicas > 8000:
+		return fmt.Errorf("replicas is %d, which is more than 8000 listeners", size.Replicas)
+	case size.Models > 200:
+		return fmt.Errorf("models is %d, which is more than 200", size.Models)
+	}
+	return nil
+}
+
+// ScaleReal is how many of the data daemons are processes of their own.
+const ScaleReal = 2
+
+// ScaleOptions say how a point is measured.
+type ScaleOptions struct {
+	// Programs is the folder of the programs controlplane and dataplane.
+	Programs string
+	// Warm and Span are the calm before and while anything is measured. Changes
+	// configurations are then sent, Pause apart.
+	Warm, Span, Pause time.Duration
+	Changes           int
+}
+
+// ScaleCalls are calls of one method by one role, a second, of all its daemons.
+type ScaleCalls struct {
+	Calls float64 `json:"calls_s"`
+	Bytes float64 `json:"bytes_s"`
+}
+
+// ScalePoint is what was measured at a size.
+type ScalePoint struct {
+	ScaleSize
+	// Figures by name. Those of a data daemon are means over the hollow ones for
+	// messages, over the real ones for processor time and memory; those of a control
+	// daemon are of the one that has most.
+	Figures map[string]float64 `json:"figures"`
+	// Calls are by caller's role and method.
+	Calls map[string]ScaleCalls `json:"calls"`
+	// Changes are the times of each change, in milliseconds: until it was acknowledged,
+	// and until the last hollow daemon applied it.
+	Changes []ScaleChange `json:"changes"`
+	// Trouble says why the point could not be measured whole.
+	Trouble string `json:"trouble,omitempty"`
+}
+
+// ScaleChange is one configuration's way.
+type ScaleChange struct {
+	Acknowledged float64 `json:"acknowledged_ms"`
+	Last         float64 `json:"last_apply_ms"`
+	Status       int     `json:"status"`
+	Applied      int     `json:"applied"`
+}
+
+// scaleProcess is a real daemon.
+type scaleProcess struct {
+	command    *exec.Cmd
+	name       string
+	wire, http string
+	ended      chan struct{}
+}
+
+// usage is what the kernel says of a process: processor time in seconds, and resident
+// megabytes now and at the most.
+type usage struct{ processor, resident, most float64 }
+
+// clockTicks is the kernel's unit of processor time, a second's part.
+const clockTicks = 100
+
+func usageOf(pid int) (out usage) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return out
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	if words := strings.Fields(rest); len(words) > 12 {
+		for _, word := range words[11:13] {
+			ticks, _ := strconv.ParseFloat(word, 64)
+			out.processor += ticks / clockTicks
+		}
+	}
+	text, _ = os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, line := range strings.Split(string(text), "\n") {
+		words := strings.Fields(line)
+		if len(words) < 2 {
+			continue
+		}
+		kilobytes, _ := strconv.ParseFloat(words[1], 64)
+		switch words[0] {
+		case "VmRSS:":
+			out.resident = kilobytes / 1024
+		case "VmHWM:":
+			out.most = kilobytes / 1024
+		}
+	}
+	return out
+}
+
+// hollow is a data daemon that serves nothing.
+type hollow struct {
+	*dataplane.Daemon
+	world    *loop.Machine
+	listener net.Listener
+}
+
+// scale is a fleet that stands while a point is measured.
+type scale struct {
+	ScaleOptions
+	size     ScaleSize
+	folder   string
+	controls []*scaleProcess
+	datas    []*scaleProcess
+	hollows  []*hollow
+	counter  wire.Counter // of all hollow daemons
+	probes   probes
+	closing  []func()
+	client   *http.Client
+}
+
+// probes counts what control daemons ask of replicas and of the platform.
+type probes struct{ asked, bytes atomic.Int64 }
+
+type probedListener struct {
+	net.Listener
+	probes *probes
+}
+
+// Accept counts what goes over the connection.
+func (listener probedListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return probedConn{conn, listener.probes}, nil
+}
+
+type probedConn struct {
+	net.Conn
+	probes *probes
+}
+
+// Read counts.
+func (conn probedConn) Read(out []byte) (int, error) {
+	count, err := conn.Conn.Read(out)
+	conn.probes.bytes.Add(int64(count))
+	return count, err
+}
+
+// Write counts.
+func (conn probedConn) Write(text []byte) (int, error) {
+	count, err := conn.Conn.Write(text)
+	conn.probes.bytes.Add(int64(count))
+	return count, err
+}
+
+func (scale *scale) region(index int) string { return fmt.Sprintf("g%d", index%scale.size.Regions+1) }
+
+// zone is the one of a number; zone n lies in region n modulo their count.
+func (scale *scale) zone(index int) (region, zone string) {
+	index %= scale.size.Zones
+	return scale.region(index), fmt.Sprintf("%s-%d", scale.region(index), index/scale.size.Regions+1)
+}
+
+func (scale *scale) model(index int) string { return fmt.Sprintf("m%d", index%scale.size.Models+1) }
+
+// document is the fleet's configuration; label tells one from another.
+func (scale *scale) document(platform string, label int) []byte {
+	placements, engines, regions := map[string]any{}, map[string]any{}, map[string]any{}
+	for index := range scale.size.Models {
+		placements[scale.model(index)] = map[string]any{"version": "any", "capacity": 64}
+		engines[scale.model(index)] = map[string]any{"probe_path": "/vitals", "conn_cap": 370, "cold_ms": 3000, "cold_per_s": 26, "berths": 64, "cache_tokens": 348621, "spacing": 4}
+	}
+	zones := map[string]map[string]any{}
+	for index := range scale.size.Zones {
+		region, zone := scale.zone(index)
+		if zones[region] == nil {
+			zones[region] = map[string]any{}
+		}
+		zones[region][zone] = map[string]any{}
+	}
+	for region, inside := range zones {
+		regions[region] = map[string]any{"platform": "http://" + platform + "/" + region, "zones": inside}
+	}
+	routes := make([]any, scale.size.Routes)
+	for index := range routes {
+		routes[index] = map[string]any{
+			"name": fmt.Sprintf("tenant-%d", index+1), "host": fmt.Sprintf("t%d.example", index+1), "prefix": "/", "kind": "streamed", "timeout_ms": 10000, "target_ms": 1000, "gap_ms": 300,
+			"urgency": index % 3, "tries": 2, "shares": []any{map[string]any{"model": scale.model(index), "weight": 1}},
+		}
+	}
+	text, _ := json.Marshal(map[string]any{"label": label, "whole": map[string]any{"placements": placements, "limits": routedLimits}, "engines": engines, "routes": routes, "regions": regions})
+	return text
+}
+
+// serve answers HTTP at a listener until the fleet is closed.
+func (scale *scale) serve(address string, handler fasthttp.RequestHandler) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
+	go func() { _ = server.Serve(probedListener{listener, &scale.probes}) }()
+	scale.closing = append(scale.closing, func() { listener.Close() })
+	return listener.Addr().String(), nil
+}
+
+// replicas starts the hollow replicas and the platform that lists them.
+func (scale *scale) replicas() (platform string, err error) {
+	lists := map[string][]map[string]string{}
+	vitals := func(ctx *fasthttp.RequestCtx) {
+		scale.probes.asked.Add(1)
+		ctx.SetContentType("application/json")
+		fmt.Fprintf(ctx, `{"boot":"b-%s","versions":[]}`, ctx.LocalAddr())
+	}
+	for index := range scale.size.Replicas {
+		// The whole of 127/8 is loopback: so many ports of one address are needed by others.
+		address, err := scale.serve(fmt.Sprintf("127.7.%d.%d:0", 1+index/200, 1+index%200), vitals)
+		if err != nil {
+			return "", err
+		}
+		region, zone := scale.zone(index)
+		lists[region] = append(lists[region], map[string]string{"id": fmt.Sprintf("%s-r%d", zone, index+1), "address": address, "zone": zone, "state": "running", "model": scale.model(index / scale.size.Zones), "version": "v1"})
+	}
+	return scale.serve("127.0.0.1:0", func(ctx *fasthttp.RequestCtx) {
+		list := lists[strings.TrimPrefix(string(ctx.Path()), "/")]
+		if list == nil {
+			list = []map[string]string{}
+		}
+		text, _ := json.Marshal(map[string]any{"replicas": list})
+		ctx.SetContentType("application/json")
+		_, _ = ctx.Write(text)
+	})
+}
+
+// vacant gives addresses that nobody listens at.
+func vacant(count int) (out []string, err error) {
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		out = append(out, listener.Addr().String())
+	}
+	return out, nil
+}
+
+// launch starts a real daemon.
+func (scale *scale) launch(program, name string, at int, seeds, places []string, more ...string) (*scaleProcess, error) {
+	region, zone := scale.zone(at)
+	words := append([]string{"run", "--name", name, "--region", region, "--zone", zone, "--wire", places[0], "--http", places[1], "--seeds", strings.Join(seeds, ","), "--log", "warn", "--grace", "1"}, more...)
+	out := &scaleProcess{command: exec.Command(filepath.Join(scale.Programs, program), words...), name: name, wire: places[0], http: places[1], ended: make(chan struct{})}
+	log, err := os.Create(filepath.Join(scale.folder, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	out.command.Stderr, out.command.Stdout = log, log
+	// Whatever ends this process ends its own children too.
+	out.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := out.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = out.command.Wait()
+		close(out.ended)
+	}()
+	return out, nil
+}
+
+// stop ends everything that was started.
+func (scale *scale) stop() {
+	for _, one := range scale.hollows {
+		one.world.End()
+		one.listener.Close()
+	}
+	processes := append(slices.Clone(scale.datas), scale.controls...)
+	for _, one := range processes {
+		_ = one.command.Process.Signal(syscall.SIGTERM)
+	}
+	late := time.After(4 * time.Second)
+	for _, one := range processes {
+		select {
+		case <-one.ended:
+		case <-late:
+			_ = one.command.Process.Kill()
+			<-one.ended
+			late = time.After(0)
+		}
+	}
+	for _, close := range scale.closing {
+		close()
+	}
+	for _, one := range scale.hollows {
+		one.world.Wait(time.Second)
+	}
+	_ = os.RemoveAll(scale.folder)
+}
+
+// ask asks a daemon over HTTP.
+func (scale *scale) ask(method, url string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequest(method, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, err := scale.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, text, err
+}
+
+// until asks again and again.
+func until(ctx context.Context, patience time.Duration, isIt func() bool) bool {
+	for expiry := time.Now().Add(patience); time.Now().Before(expiry) && ctx.Err() == nil; {
+		if isIt() {
+			return true
+		}
+		rest(ctx, 20*time.Millisecond)
+	}
+	return false
+}
+
+// rest waits, or until the context ends.
+func rest(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+// start starts the fleet and waits until it does what it is to do.
+func (scale *scale) start(ctx context.Context) (platform string, err error) {
+	if platform, err = scale.replicas(); err != nil {
+		return "", err
+	}
+	places, err := vacant(2 * (scale.size.Controls + ScaleReal))
+	if err != nil {
+		return "", err
+	}
+	var seeds []string
+	for index := range scale.size.Controls {
+		seeds = append(seeds, places[2*index])
+	}
+	for index := range scale.size.Controls {
+		name := fmt.Sprintf("c%d", index+1)
+		one, err := scale.launch("controlplane", name, index, seeds, places[2*index:], "--data", filepath.Join(scale.folder, name), "--count")
+		if err != nil {
+			return "", err
+		}
+		scale.controls = append(scale.controls, one)
+	}
+	if !until(ctx, 10*time.Second, func() bool {
+		status, _, err := scale.ask("POST", scale.controls[0].http+"/v1/init", nil)
+		return err == nil && status == 200
+	}) {
+		return "", errors.New("no core was made")
+	}
+	first := scale.document(platform, 1)
+	status, text := 0, []byte(nil)
+	if !until(ctx, 20*time.Second, func() bool {
+		status, text, err = scale.ask("POST", scale.controls[0].http+"/v1/config", first)
+		return err == nil && status == 200
+	}) {
+		return "", fmt.Errorf("the first configuration (%d bytes) was answered %d %s %v", len(first), status, text, err)
+	}
+	for index := range ScaleReal {
+		at := 2 * (scale.size.Controls + index)
+		one, err := scale.launch("dataplane", fmt.Sprintf("d%d", index+1), index, seeds, places[at:])
+		if err != nil {
+			return "", err
+		}
+		scale.datas = append(scale.datas, one)
+	}
+	for index := ScaleReal; index < scale.size.Datas; index++ {
+		if err := scale.hollow(index, seeds); err != nil {
+			return "", err
+		}
+	}
+	stand := 0
+	if !until(ctx, 30*time.Second, func() bool {
+		stand = 0
+		for _, one := range scale.hollows {
+			rows := 0
+			for _, standing := range one.Holder.View().Standings {
+				rows += len(standing.Rows)
+			}
+			if one.Holder.View().Stands(one.world.Now()) && rows == scale.size.Replicas {
+				stand++
+			}
+		}
+		return stand == len(scale.hollows)
+	}) {
+		held, most := 0, 0
+		for _, one := range scale.hollows {
+			rows := 0
+			for _, standing := range one.Holder.View().Standings {
+				rows += len(standing.Rows)
+			}
+			if one.Holder.View().Stands(one.world.Now()) {
+				held++
+			}
+			most = max(most, rows)
+		}
+		return platform, fmt.Errorf("after 30 s %d of %d hollow daemons held a permit, and one knew %d of %d replicas at the most", held, len(scale.hollows), most, scale.size.Replicas)
+	}
+	return platform, nil
+}
+
+// hollow starts one hollow data daemon: the product's own, with nobody who calls.
+func (scale *scale) hollow(index int, seeds []string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	region, zone := scale.zone(index)
+	world := loop.NewMachine()
+	process := settings.Process{Name: fmt.Sprintf("d%d", index+1), Region: region, Zone: zone, Wire: listener.Addr().String(), HTTP: listener.Addr().String(), Seeds: seeds, Log: "warn", Grace: 1}
+	daemon := dataplane.New(dataplane.Options{
+		World: world, Net: &wire.TCP{World: world, Counter: &scale.counter}, Process: process, Incarnation: fmt.Sprintf("%x-%d", time.Now().UnixMilli(), index),
+	})
+	go wire.Serve(world, listener, daemon.Services())
+	daemon.Run()
+	scale.hollows = append(scale.hollows, &hollow{daemon, world, listener})
+	return nil
+}
+
+// reading is all counts at one time.
+type reading struct {
+	at            time.Time
+	usages        map[string]usage
+	own           usage
+	made          map[string][]wire.Calls // by control daemon; "" for the hollow ones'
+	syncs, reads  map[string]float64
+	asked, probed float64
+}
+
+func (scale *scale) read() reading {
+	out := reading{at: time.Now(), usages: map[string]usage{}, own: usageOf(os.Getpid()), made: map[string][]wire.Calls{"": scale.counter.Snapshot()}, syncs: map[string]float64{}, reads: map[string]float64{}, asked: float64(scale.probes.asked.Load()), probed: float64(scale.probes.bytes.Load())}
+	for _, one := range append(slices.Clone(scale.datas), scale.controls...) {
+		out.usages[one.name] = usageOf(one.command.Process.Pid)
+	}
+	for _, one := range scale.controls {
+		_, text, err := scale.ask("GET", one.http+"/v1/counters", nil)
+		if err != nil {
+			continue
+		}
+		var got struct {
+			Calls  []wire.Calls
+			Syncs  float64 `json:"disk_syncs"`
+			Rounds struct{ Reads, Writes, Conflicts float64 }
+		}
+		_ = json.Unmarshal(text, &got)
+		out.made[one.name], out.syncs[one.name], out.reads[one.name] = got.Calls, got.Syncs, got.Rounds.Reads
+	}
+	return out
+}
+
+// between turns two readings into figures.
+func (scale *scale) between(before, after reading, point *ScalePoint, prefix string) {
+	span := after.at.Sub(before.at).Seconds()
+	figure := func(name string, value float64) { point.Figures[prefix+name] = math.Round(value*1e4) / 1e4 }
+	processor := func(name string) float64 {
+		return (after.usages[name].processor - before.usages[name].processor) / span
+	}
+	data, resident := 0.0, 0.0
+	for _, one := range scale.datas {
+		data += processor(one.name) / ScaleReal
+		resident = max(resident, after.usages[one.name].resident)
+	}
+	figure("data_cores", data)
+	figure("data_mb", resident)
+	most, all, large, syncs, reads := 0.0, 0.0, 0.0, 0.0, 0.0
+	wires := map[string]string{}
+	for _, one := range scale.controls {
+		wires[one.wire] = one.name
+		most, all = max(most, processor(one.name)), all+processor(one.name)
+		large = max(large, after.usages[one.name].resident)
+		syncs = max(syncs, (after.syncs[one.name]-before.syncs[one.name])/span)
+		reads = max(reads, (after.reads[one.name]-before.reads[one.name])/span)
+	}
+	figure("control_cores", most)
+	figure("control_cores_all", all)
+	figure("control_mb", large)
+	figure("acceptor_syncs_s", syncs)
+	figure("control_rounds_s", reads)
+	figure("probes_s", (after.asked-before.asked)/span)
+	figure("probe_bytes_s", (after.probed-before.probed)/span)
+	figure("hollow_cores", (after.own.processor-before.own.processor)/span)
+	figure("hollow_mb", after.own.resident)
+	// The real data daemons are taken to say as much as the hollow ones.
+	whole := float64(scale.size.Datas) / float64(len(scale.hollows))
+	touches, carried := map[string]float64{}, map[string]float64{}
+	queries, queried, told, taken := 0.0, 0.0, 0.0, 0.0
+	share, shared := 0.0, 0.0
+	for caller, rows := range after.made {
+		role, times := "control", 1.0
+		if caller == "" {
+			role, times = "data", whole
+		}
+		old := map[[2]string]wire.Calls{}
+		for _, row := range before.made[caller] {
+			old[[2]string{row.Address, row.Method}] = row
+		}
+		for _, row := range rows {
+			was := old[[2]string{row.Address, row.Method}]
+			calls := float64(row.Calls-was.Calls) / span * times
+			moved := float64(row.Sent+row.Received-was.Sent-was.Received) / span * times
+			key := role + " " + row.Method
+			if prefix == "" {
+				sum := point.Calls[key]
+				point.Calls[key] = ScaleCalls{Calls: math.Round((sum.Calls+calls)*100) / 100, Bytes: math.Round(sum.Bytes + moved)}
+			}
+			callee := wires[row.Address]
+			touches[callee], carried[callee] = touches[callee]+calls, carried[callee]+moved
+			if caller != "" {
+				touches[caller], carried[caller] = touches[caller]+calls, carried[caller]+moved
+			}
+			isData := caller == "" || callee == ""
+			switch {
+			case isData:
+				told, taken = told+calls, taken+moved
+			case strings.HasPrefix(row.Method, "Register."):
+				queries, queried = queries+calls, queried+moved
+			default:
+				share, shared = share+calls, shared+moved
+			}
+		}
+	}
+	delete(touches, "")
+	delete(carried, "")
+	figure("data_calls_s", told/float64(scale.size.Datas))
+	figure("data_bytes_s", taken/float64(scale.size.Datas))
+	figure("register_calls_s", queries)
+	figure("register_bytes_s", queried)
+	figure("share_calls_s", share)
+	figure("share_bytes_s", shared)
+	calls, moved := 0.0, 0.0
+	for name := range touches {
+		calls, moved = max(calls, touches[name]), max(moved, carried[name])
+	}
+	figure("control_calls_s", calls)
+	figure("control_bytes_s", moved)
+}
+
+// change sends a configuration and waits for the last hollow daemon to apply it.
+func (scale *scale) change(ctx context.Context, document []byte) ScaleChange {
+	type ending struct {
+		status int
+		serial uint64
+		took   time.Duration
+	}
+	ended := make(chan ending, 1)
+	before := uint64(0)
+	for _, one := range scale.hollows {
+		before = max(before, one.Holder.View().Serial)
+	}
+	began := time.Now()
+	go func() {
+		status, text, _ := scale.ask("POST", scale.controls[0].http+"/v1/config", document)
+		ended <- ending{status, gjson.GetBytes(text, "serial").Uint(), time.Since(began)}
+	}()
+	out := ScaleChange{}
+	milliseconds := func(span time.Duration) float64 { return math.Round(span.Seconds()*1e4) / 10 }
+	for !(out.Acknowledged > 0 && out.Applied == len(scale.hollows)) && time.Since(began) < 20*time.Second && ctx.Err() == nil {
+		out.Applied = 0
+		for _, one := range scale.hollows {
+			if one.Holder.View().Serial > before {
+				out.Applied++
+			}
+		}
+		if out.Applied == len(scale.hollows) && out.Last == 0 {
+			out.Last = milliseconds(time.Since(began))
+		}
+		select {
+		case got := <-ended:
+			out.Status, out.Acknowledged = got.status, milliseconds(got.took)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return out
+}
+
+// MeasureScale starts a fleet of the size, measures it and ends it. The error tells that
+// nothing could be measured.
+func MeasureScale(ctx context.Context, options ScaleOptions, size ScaleSize) (point ScalePoint, err error) {
+	point = ScalePoint{ScaleSize: size, Figures: map[string]float64{}, Calls: map[string]ScaleCalls{}}
+	if err := size.Check(); err != nil {
+		return point, err
+	}
+	folder, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		return point, err
+	}
+	scale := &scale{ScaleOptions: options, size: size, folder: folder, client: &http.Client{Timeout: 20 * time.Second}}
+	defer scale.stop()
+	platform, err := scale.start(ctx)
+	if err != nil {
+		point.Trouble = err.Error()
+		if platform == "" {
+			return point, nil
+		}
+	}
+	rest(ctx, options.Warm)
+	before := scale.read()
+	rest(ctx, options.Span)
+	calm := scale.read()
+	scale.between(before, calm, &point, "")
+	point.Figures["document_bytes"] = float64(len(scale.document(platform, 1)))
+	for turn := range options.Changes {
+		if ctx.Err() != nil {
+			break
+		}
+		sent := time.Now()
+		change := scale.change(ctx, scale.document(platform, turn+2))
+		point.Changes = append(point.Changes, change)
+		point.Figures["acknowledged_ms"] = max(point.Figures["acknowledged_ms"], change.Acknowledged)
+		point.Figures["last_apply_ms"] = max(point.Figures["last_apply_ms"], change.Last)
+		rest(ctx, options.Pause-time.Since(sent))
+	}
+	if options.Changes > 0 {
+		scale.between(calm, scale.read(), &point, "changing_")
+	}
+	stand := 0
+	for _, one := range scale.hollows {
+		if one.Holder.View().Stands(one.world.Now()) {
+			stand++
+		}
+	}
+	point.Figures["permits_stand"] = float64(stand) / float64(len(scale.hollows))
+	return point, ctx.Err()
+}
+
+// ScaleSlope is how a figure goes with a dimension: a straight line by least squares.
+type ScaleSlope struct {
+	Dimension string `json:"dimension"`
+	Figure    string `json:"figure"`
+	// Base is the figure at none, Each what one more adds, Spread its standard error.
+	Base   float64 `json:"base"`
+	Each   float64 `json:"each"`
+	Spread float64 `json:"spread"`
+	Points int     `json:"points"`
+}
+
+// Slope fits a line through points whose sizes differ in the dimension; those in trouble
+// are left out. False when there are fewer than three.
+func Slope(points []ScalePoint, dimension, figure string) (ScaleSlope, bool) {
+	out := ScaleSlope{Dimension: dimension, Figure: figure}
+	var xs, ys []float64
+	for _, point := range points {
+		value, known := point.Figures[figure]
+		if at := point.Value(dimension); at > 0 && known && point.Trouble == "" {
+			xs, ys = append(xs, float64(at)), append(ys, value)
+		}
+	}
+	count := float64(len(xs))
+	sumX, sumY := 0.0, 0.0
+	for index := range xs {
+		sumX, sumY = sumX+xs[index], sumY+ys[index]
+	}
+	squares, products := 0.0, 0.0
+	for index := range xs {
+		squares += (xs[index] - sumX/count) * (xs[index] - sumX/count)
+		products += (xs[index] - sumX/count) * (ys[index] - sumY/count)
+	}
+	if len(xs) < 3 || squares == 0 {
+		return out, false
+	}
+	out.Points, out.Each = len(xs), products/squares
+	out.Base = sumY/count - out.Each*sumX/count
+	rests := 0.0
+	for index := range xs {
+		one := ys[index] - out.Base - out.Each*xs[index]
+		rests += one * one
+	}
+	out.Spread = math.Sqrt(rests / (count - 2) / squares)
+	return out, true
+}
+
+// The users' budget of control costs for each data daemon: parts of a core, megabytes,
+// bytes a second.
+const (
+	BudgetCores = 0.012
+	BudgetMB    = 64
+	BudgetBytes = 20e3
+)
+
+// Value is the point's size in a dimension, zero when there is none of that name.
+func (size ScaleSize) Value(dimension string) int {
+	if place := size.dimensions()[dimension]; place != nil {
+		return *place
+	}
+	return 0
+}
+
+// ScaleFigures are the names of all figures of the points, in order.
+func ScaleFigures(points []ScalePoint) []string {
+	names := map[string]bool{}
+	for _, point := range points {
+		for name := range point.Figures {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -93,6 +93,9 @@
 	}
 	log := Logger(level).With(zap.String("daemon", process.Name), zap.String("incarnation", incarnation))
 	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, told: make(chan os.Signal, 4), file: file, read: stamp}
+	if process.Count {
+		out.Net.Counter = new(wire.Counter)
+	}
 	signal.Notify(out.told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	world.Panicked = func(trouble any, stack []byte) {
 		log.Fatal("a task panicked", zap.Any("trouble", trouble), zap.ByteString("stack", stack))
--- a/settings/first_test.go
+++ b/settings/first_test.go
@@ -41,3 +41,33 @@
 		}
 	}
 }
+
+// TestCount: counting calls is off unless file or flag tell it.
+func TestCount(t *testing.T) {
+	for _, one := range []struct {
+		field         string
+		flags         []string
+		counts, holds bool
+	}{
+		{"", nil, false, true},
+		{`,"count":true`, nil, true, true},
+		{`,"count":true`, []string{"--count=false"}, false, true},
+		{"", []string{"--count"}, true, true},
+		{`,"count":1`, nil, false, false},
+	} {
+		path := filepath.Join(t.TempDir(), "settings.json")
+		text := `{"name":"c1","region":"r","zone":"z","wire":"127.0.0.1:1","http":"127.0.0.1:2","seeds":["127.0.0.1:1"]` + one.field + `}`
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		set := flag.NewFlagSet("c1", flag.ContinueOnError)
+		settings.ProcessFlags(set)
+		if err := set.Parse(one.flags); err != nil {
+			t.Fatal(err)
+		}
+		process, err := settings.LoadProcess(path, set)
+		if (err == nil) != one.holds || err == nil && process.Count != one.counts {
+			t.Errorf("%s %v: %+v, %v", one.field, one.flags, process, err)
+		}
+	}
+}
--- a/settings/process.go
+++ b/settings/process.go
@@ -55,6 +55,9 @@
 	// First is true only when the whole system starts for the first time, on empty
 	// disks: then the seeds are made the first core. It counts at a process's start.
 	First bool
+	// Count makes calls to other daemons be counted by method, shown with the counters.
+	// It counts at a process's start.
+	Count bool
 }
 
 var (
@@ -77,6 +80,7 @@
 	set.String("log", "", "debug, info, warn or error (default info)")
 	set.Int("grace", 0, "seconds that a planned stop may take (default 10)")
 	set.Bool("first", false, "the whole system starts for the first time, on empty disks: make the seeds the first core")
+	set.Bool("count", false, "count calls to other daemons and their bytes, shown at /v1/counters")
 	set.String("traces", "", "file that OpenTelemetry JSON traces go to (off when empty)")
 	return path
 }
@@ -102,6 +106,8 @@
 			_, _ = fmt.Sscan(value, &process.Grace)
 		case "first":
 			process.First = value == "true"
+		case "count":
+			process.Count = value == "true"
 		default:
 			if place := process.place(given.Name); place != nil {
 				*place = value
@@ -151,7 +157,9 @@
 			problems.add(path, "must be a number")
 		case key.Str == "first" && value.IsBool():
 			process.First = value.Bool()
-		case key.Str == "first":
+		case key.Str == "count" && value.IsBool():
+			process.Count = value.Bool()
+		case key.Str == "first", key.Str == "count":
 			problems.add(path, "must be true or false")
 		case key.Str == "seeds" && value.IsArray():
 			for _, seed := range value.Array() {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -52,8 +52,10 @@
 // wakes, and closed soon after.
 type TCP struct {
 	World loop.World
-	guard sync.Mutex
-	lines map[string]*rpc.Client
+	// Counter, if set, counts the calls made.
+	Counter *Counter
+	guard   sync.Mutex
+	lines   map[string]*rpc.Client
 }
 
 // dialParts is which part of a call's patience the opening of a line may take.
@@ -72,7 +74,11 @@
 	if err != nil {
 		return nil, err
 	}
-	line = rpc.NewClient(conn)
+	if tcp.Counter != nil {
+		line = rpc.NewClientWithCodec(newCounted(conn, tcp.Counter, address))
+	} else {
+		line = rpc.NewClient(conn)
+	}
 	tcp.guard.Lock()
 	defer tcp.guard.Unlock()
 	if other := tcp.lines[address]; other != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -130,6 +130,76 @@
 	})
 }
 
+// TestCountedCalls: counts are of every byte that went over the connection, by method,
+// and a line without a counter says the same.
+func TestCountedCalls(t *testing.T) {
+	Convey("over a real connection", t, func() {
+		world := loop.NewMachine()
+		server := rpc.NewServer()
+		So(server.Register(&Note{}), ShouldBeNil)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		measured := &measured{Listener: listener}
+		go wire.Serve(world, measured, server)
+		at := listener.Addr().String()
+		counter := &wire.Counter{}
+		counting := &wire.TCP{World: world, Counter: counter}
+		var calls sync.WaitGroup
+		for turn := 0; turn < 20; turn++ {
+			calls.Go(func() {
+				var length int
+				if err := counting.Call(at, "Note.Take", Text{Body: body}, &length, time.Minute); err != nil || length != len(body) {
+					t.Errorf("%d %v", length, err)
+				}
+			})
+		}
+		calls.Wait()
+		var none int
+		So(counting.Call(at, "Note.None", Text{Body: body}, &none, time.Minute), ShouldNotBeNil)
+		rows := counter.Snapshot()
+		So(len(rows), ShouldEqual, 2)
+		So(rows[0].Method, ShouldEqual, "Note.None")
+		So(rows[1].Calls, ShouldEqual, 20)
+		So(rows[1].Answers, ShouldEqual, 20)
+		So(rows[1].Sent, ShouldBeGreaterThan, 20*len(body))
+		So(int64(rows[0].Sent+rows[1].Sent), ShouldEqual, measured.in.Load())
+		So(int64(rows[0].Received+rows[1].Received), ShouldEqual, measured.out.Load())
+		counted := measured.in.Load()
+		var length int
+		So((&wire.TCP{World: world}).Call(at, "Note.Take", Text{Body: body}, &length, time.Minute), ShouldBeNil)
+		So(measured.in.Load(), ShouldBeGreaterThan, counted)
+		So(len((*wire.Counter)(nil).Snapshot()), ShouldEqual, 0)
+	})
+}
+
+// measured counts what goes over its connections.
+type measured struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+func (measured *measured) Accept() (net.Conn, error) {
+	conn, err := measured.Listener.Accept()
+	return &measuredConn{conn, measured}, err
+}
+
+type measuredConn struct {
+	net.Conn
+	measured *measured
+}
+
+func (conn *measuredConn) Read(out []byte) (int, error) {
+	count, err := conn.Conn.Read(out)
+	conn.measured.in.Add(int64(count))
+	return count, err
+}
+
+func (conn *measuredConn) Write(text []byte) (int, error) {
+	conn.measured.out.Add(int64(len(text))) // before the caller can have read it
+	return conn.Conn.Write(text)
+}
+
 // TestACallToOneThatDoesNotReadExpires: a frozen machine's kernel takes a little and
 // then nothing; a long call must not wait for it beyond its patience, nor hold up
 // others.
