--- a/fleet/chatter_test.go
+++ b/fleet/chatter_test.go
@@ -209,3 +209,32 @@
 		}
 	}
 }
+
+// TestControlTrafficIsFlatForADataDaemon is the proof of docs/CAPACITY.md's slope of a
+// data daemon's traffic with the number of daemons: at each size it is within a tenth of
+// that at the smallest, for the same core.
+func TestControlTrafficIsFlatForADataDaemon(t *testing.T) {
+	sizes := []size{{6, 36, 3}, {25, 36, 3}, {88, 36, 3}}
+	if testing.Short() {
+		sizes = sizes[:2]
+	}
+	var first chatter
+	for index, size := range sizes {
+		one := listen(1, grown(size.datas, size.replicas, size.controls))
+		t.Logf("%d data daemons: %v", size.datas, one)
+		mean := one.served / float64(size.datas)
+		if mean == 0 || one.messages == 0 {
+			t.Fatal("vacuous")
+		}
+		if index == 0 {
+			first = one
+			continue
+		}
+		if before := first.served / float64(sizes[0].datas); mean > 1.1*before || mean < before/1.1 {
+			t.Errorf("control traffic: a data daemon's mean goes from %.0f to %.0f bytes a second", before, mean)
+		}
+		if one.each > 1.1*first.each || one.messages > 1.1*first.messages {
+			t.Errorf("control traffic: the busiest data daemon's part grows: %v, then %v", first, one)
+		}
+	}
+}
