--- a/serve/serve.go
+++ b/serve/serve.go
@@ -13,6 +13,7 @@
 	"net/rpc"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -67,6 +68,14 @@
 	return process, path, err
 }
 
+// memoryShare is which part of its memory the runtime keeps the process within, as what
+// the kernel holds for its connections counts too; gcPercent is by how much the heap may
+// grow between two collections.
+const (
+	memoryShare = 0.8
+	gcPercent   = 50
+)
+
 // Start reads the settings. With check it only says whether they hold.
 func Start(load Load, path string, set *flag.FlagSet, check bool) (*Process, int) {
 	process, file, err := load(path, set)
@@ -84,6 +93,11 @@
 		fmt.Println("the settings hold")
 		return nil, 0
 	}
+	if process.Memory > 0 {
+		// Collected earlier than by default: where memory is told, it is dear.
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(float64(process.Memory) * memoryShare * (1 << 20)))
+	}
 	world := loop.NewMachine()
 	incarnation := Incarnation()
 	level, err := zap.ParseAtomicLevel(process.Log)
--- a/settings/process.go
+++ b/settings/process.go
@@ -52,6 +52,9 @@
 	Log    string
 	Grace  int // seconds that a planned stop may take
 	Traces string
+	// Memory is how much the process may use, in MiB; zero when nobody says. It is told
+	// to the runtime at a process's start.
+	Memory int
 	// First is true only when the whole system starts for the first time, on empty
 	// disks: then the seeds are made the first core. It counts at a process's start.
 	First bool
@@ -79,6 +82,7 @@
 	set.String("data", "", "data folder (control daemons with a disk only)")
 	set.String("log", "", "debug, info, warn or error (default info)")
 	set.Int("grace", 0, "seconds that a planned stop may take (default 10)")
+	set.Int("memory", 0, "MiB of memory that the process may use (0: no limit)")
 	set.Bool("first", false, "the whole system starts for the first time, on empty disks: make the seeds the first core")
 	set.Bool("count", false, "count calls to other daemons and their bytes, shown at /v1/counters")
 	set.String("traces", "", "file that OpenTelemetry JSON traces go to (off when empty)")
@@ -102,6 +106,8 @@
 		switch given.Name {
 		case "seeds":
 			process.Seeds = strings.Split(value, ",")
+		case "memory":
+			_, _ = fmt.Sscan(value, &process.Memory)
 		case "grace":
 			_, _ = fmt.Sscan(value, &process.Grace)
 		case "first":
@@ -151,6 +157,10 @@
 			*place = value.Str
 		case place != nil:
 			problems.add(path, "must be a string")
+		case key.Str == "memory" && value.Type == gjson.Number:
+			process.Memory = int(value.Int())
+		case key.Str == "memory":
+			problems.add(path, "must be a number")
 		case key.Str == "grace" && value.Type == gjson.Number:
 			process.Grace = int(value.Int())
 		case key.Str == "grace":
@@ -208,6 +218,9 @@
 	if !levels[process.Log] {
 		problems.add("$.log", "%q is none of debug, info, warn, error", process.Log)
 	}
+	if process.Memory != 0 && (process.Memory < 32 || process.Memory > 1<<20) {
+		problems.add("$.memory", "%d is not 0 or within 32 to 1048576 MiB", process.Memory)
+	}
 	if process.Grace < 1 || process.Grace > 3600 {
 		problems.add("$.grace", "%d is not within 1 to 3600 seconds", process.Grace)
 	}
