Leave replicas alone that fail in part, by each daemon's own requests

Cause: a replica that fails a share of its requests while its probe says that it is well got as many as the others; 500s that were passed on even counted as answered well. decide/vitals.go keeps faded counts of each replica's outcomes (5xx, resets, cuts, spoiled answers, silences, sheds while places are free, late first pieces), holds one out that plainly stands out from the others of its region, for 1 s to 8 s, doubling, and lets it back by few requests, those that cannot be repeated last; at most two in five of a region's replicas. A probe that says ill takes a replica out only while most of what daemons sent it fails. A shed request's caller is told to come back in 75 ms; an overdue repeatable request goes elsewhere though its replica answers others.

Ruled out: the probe's word alone (it lies either way), and counts without a bound on the good ones, as a busy replica would need five mishaps to stand out.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -32,6 +32,10 @@
 	answered time.Duration
 	leaving  bool
 	unlisted bool
+	// wasWell tells whether it ever answered that it is well. condemned is until when it
+	// is out, as it says that it is ill and what daemons sent it bears that out.
+	wasWell   bool
+	condemned time.Duration
 	// coldUntil is until when it is cold, as far as list and probes have told.
 	coldUntil time.Duration
 }
@@ -220,6 +224,7 @@
 	region.guard.Unlock()
 	sort.Slice(targets, func(a, b int) bool { return targets[a].id < targets[b].id })
 	patience := tree.Span("dark_ms", region.name) / 2
+	tallies := region.tallies()
 	for _, one := range targets {
 		region.World.Go(func() {
 			asked := region.World.Now()
@@ -235,6 +240,13 @@
 			if err != nil || asked < one.answered {
 				return
 			}
+			if vitals.Ill && !one.wasWell && tallies[one.id].OK == 0 {
+				return // it is not there yet
+			}
+			one.wasWell = one.wasWell || !vitals.Ill
+			if !vitals.Ill {
+				one.condemned = 0
+			}
 			if vitals.Boot != one.vitals.Boot {
 				one.leaving = one.Leaving
 			}
@@ -245,10 +257,42 @@
 	}
 }
 
+// tallies are what data daemons report of their latest requests, by replica.
+func (region *region) tallies() map[string]standing.Outcome {
+	out := map[string]standing.Outcome{}
+	for _, one := range region.Table.Live(session.Data) {
+		for _, list := range [][]standing.Outcome{one.Report.Recent, one.Report.Near} {
+			for _, outcome := range list {
+				sum := out[outcome.Replica]
+				sum.Add(outcome)
+				out[outcome.Replica] = sum
+			}
+		}
+	}
+	return out
+}
+
+// condemnedSpan is how long a replica is out that says that it is ill, and fails.
+const condemnedSpan = 10 * time.Second
+
+// isOut tells whether a replica that says that it is ill gets no requests. Its own word
+// is not enough: it is out while most of what daemons sent it of late failed. Whoever
+// leaves says the same and is marked in the list soon after.
+func (one *watched) isOut(tally standing.Outcome, now time.Duration) bool {
+	if !one.vitals.Ill {
+		return false
+	}
+	if tally.Mishaps+tally.Unreached > tally.OK {
+		one.condemned = now + condemnedSpan
+	}
+	return now < one.condemned
+}
+
 // rows gives the replicas' table for the pure functions.
 func (region *region) rows(tree *settings.Tree) []standing.Replica {
 	now := region.World.Now()
 	dark := tree.Span("dark_ms", region.name)
+	tallies := region.tallies()
 	region.guard.Lock()
 	defer region.guard.Unlock()
 	dim, all := 0, 0 // engines' replicas that do not answer probes, and all of them
@@ -280,7 +324,7 @@
 		}
 		if one.engine(tree) != nil {
 			row.Boot = one.ID
-			row.Alive = row.Alive || isDoubtful && now-region.since > 2*dark
+			row.Alive = (row.Alive || isDoubtful && now-region.since > 2*dark) && !one.isOut(tallies[one.ID], now)
 		}
 		out = append(out, row)
 	}
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -79,6 +79,9 @@
 	vouched time.Duration
 	// flowing are the streams that have begun and not ended.
 	flowing int
+	vitals  vitals
+	// region and model are those that it was last seen with.
+	region, model string
 }
 
 // opens tells whether a replica that was shunned, and has not shown since that it is
--- a/decide/export_test.go
+++ b/decide/export_test.go
@@ -15,3 +15,15 @@
 	defer decider.guard.Unlock()
 	return decider.barred(view, region, model, version)
 }
+
+// Held are the replicas of a region that stand out by their mishaps, under the guard.
+func (decider *Decider) Held(region string) (names []string) {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	for name, one := range decider.engines {
+		if one.vitals.isHeld && one.region == region {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/decide/route.go
+++ b/decide/route.go
@@ -211,7 +211,6 @@
 	owner, most := "", uint64(0) // of the shared parts, among all that may be asked
 	isLong := decider.reading(routed.Tokens) >= routed.Route.Target/longShare
 	readers := decider.readers(view, routed.Model)
-	shunnedOnly := true
 	var shunned []prospect
 	for _, region := range view.Tree.Regions() {
 		one, has := view.Standings[region]
@@ -246,16 +245,16 @@
 				soon(wait)
 				continue
 			}
-			if now < seat.shunned || !seat.opens(now, route.Repeatable()) {
-				soon(max(seat.shunned-now, firstShun/2))
+			wait := seat.vitals.opens(now, route.Repeatable())
+			if wait > 0 || now < seat.shunned || !seat.opens(now, route.Repeatable()) {
+				soon(max(wait, seat.shunned-now, firstShun/2))
 				shunned = append(shunned, prospect{row: row, place: place, seat: seat})
 				continue
 			}
-			shunnedOnly = false
 			all = append(all, prospect{row: row, place: place, seat: seat})
 		}
 	}
-	if len(all) == 0 && shunnedOnly && len(shunned) > 0 {
+	if len(all) == 0 && len(shunned) > 0 {
 		// Better one in doubt than none at all.
 		all = shunned
 	}
@@ -388,6 +387,7 @@
 	if one.place.Warm < 1 {
 		one.weight += coldWeight
 	}
+	one.weight += seat.vitals.penalty(now, routed.Route.Repeatable())
 	// Equal ones take turns.
 	one.weight += time.Duration(decider.World.Draw(int64(time.Millisecond)))
 }
@@ -513,6 +513,7 @@
 		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat,
 	}
 	seat.running++
+	seat.region, seat.model, seat.vitals.asked = best.place.Region, best.row.Model, now
 	seat.reading += best.unread
 	if seat.waits == 0 {
 		seat.silent = now
@@ -569,6 +570,13 @@
 	if selection.unread < learnTokens && !selection.Spill {
 		decider.base = max(0, decider.base+(min(took, 2*decider.base+firstBase)-decider.base)/32)
 	}
+	if took > slowTimes*selection.Foreseen+slowMore {
+		if !selection.isLate {
+			decider.judgeVitals(selection, slowBad, now)
+		}
+	} else {
+		seat.vitals.well(now)
+	}
 	over := took - selection.Foreseen
 	seat.lag = max(0, seat.lagged(now)*3/4+over/4)
 	seat.lagAt = now
@@ -583,15 +591,16 @@
 // learnTokens is how long a prompt must be for its first piece to tell the rate.
 const learnTokens = 2000
 
-// Suspect tells whether the replica of a selection has been silent for so long that
-// others should get its requests; it then gets none for a while.
+// Suspect tells whether the replica of a selection stands out by its mishaps, or has been
+// silent for so long that others should get its requests; it then gets none for a while.
 func (decider *Decider) Suspect(selection *Selection) bool {
 	now := decider.World.Now()
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
+	standsOut := decider.overdueAt(selection, now)
 	if now-max(seat.silent, seat.vouched) < seat.silence(selection) {
-		return false
+		return standsOut
 	}
 	decider.shun(seat, now)
 	return true
@@ -637,10 +646,17 @@
 	now := decider.World.Now()
 	decider.guard.Lock()
 	decider.begun(selection, false, now)
+	isEmpty := false
+	if view := decider.Holder(); view.Tree != nil {
+		isEmpty = selection.seat.isEmpty(view.Tree.Engine(selection.call.Model), now)
+	}
 	selection.seat.running--
 	if selection.isFlowing {
 		selection.seat.flowing--
 	}
+	if bad := badness(mishap, isEmpty); bad > 0 {
+		decider.judgeVitals(selection, bad, now)
+	}
 	if mishap != nil {
 		switch mishap.Code {
 		case "replica_unreached", "replica_cut", "cut":
--- a/decide/route_bench_test.go
+++ b/decide/route_bench_test.go
@@ -18,7 +18,8 @@
 func routedView(replicas int) *permit.View {
 	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":64}}},
  "engines":{"m":{"probe_path":"/vitals","cold_ms":3000,"cold_per_s":26,"berths":64,"cache_tokens":348621,"spacing":4}},
- "routes":[{"name":"r","host":"h.example","prefix":"/x/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"tries":2,"resume":true,"shares":[{"model":"m","weight":1}]}],
+ "routes":[{"name":"r","host":"h.example","prefix":"/x/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"tries":2,"resume":true,"shares":[{"model":"m","weight":1}]},
+  {"name":"o","host":"h.example","prefix":"/once/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"tries":1,"shares":[{"model":"m","weight":1}]}],
  "regions":{"a":{"zones":{"a-1":{}}},"b":{"zones":{"b-1":{}}},"c":{"zones":{"c-1":{}}}}}`))
 	if len(problems) > 0 {
 		panic(problems)
--- /dev/null
+++ b/decide/vitals_test.go
@@ -0,0 +1,195 @@
+package decide_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"swifttiller/decide"
+	"swifttiller/loop"
+	"swifttiller/permit"
+	"swifttiller/session"
+	"swifttiller/sim"
+	"swifttiller/verdict"
+)
+
+// clinic is a decider over many replicas, of which some fail.
+type clinic struct {
+	*sim.Sim
+	t       *testing.T
+	decider *decide.Decider
+	// fails gives what becomes of a request at the replica.
+	fails func(replica string) *verdict.Mishap
+	// sent are when requests went to which replica; failed and all count since the last look.
+	sent        map[string][]time.Duration
+	failed, all int
+}
+
+// The routes of a clinic: one may be repeated, the other not.
+const (
+	resumedPath = "/x/y"
+	oncePath    = "/once/y"
+)
+
+func newClinic(t *testing.T, replicas int, path string) *clinic {
+	clinic := &clinic{Sim: sim.New(1), t: t, sent: map[string][]time.Duration{}, fails: func(string) *verdict.Mishap { return nil }}
+	t.Cleanup(clinic.Close)
+	view := routedView(replicas)
+	clinic.Start("x", func(node *sim.Node) {
+		clinic.decider = decide.New(decide.Options{World: node, Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
+		for {
+			loop.Sleep(node, 10*time.Millisecond)
+			node.Go(func() { clinic.one(node, path) })
+		}
+	})
+	return clinic
+}
+
+// one is one request of 30 ms, at whichever replica it is sent to.
+func (clinic *clinic) one(node *sim.Node, path string) {
+	routed := &decide.Routed{ID: "r", Host: "h.example", Path: path, Tokens: 100, Most: 40, Expiry: node.Now() + 10*time.Second}
+	if mishap := clinic.decider.Direct(routed); mishap != nil {
+		clinic.t.Error(mishap.Code)
+		return
+	}
+	selection, mishap := clinic.decider.Route(routed, nil)
+	if mishap != nil {
+		clinic.t.Errorf("%s at %v", mishap.Code, node.Now())
+		return
+	}
+	clinic.all++
+	clinic.sent[selection.Replica] = append(clinic.sent[selection.Replica], node.Now())
+	mishap = clinic.fails(selection.Replica)
+	loop.Sleep(node, 30*time.Millisecond)
+	if mishap == nil {
+		clinic.decider.Heard(selection, nil)
+		clinic.decider.Begun(selection, true)
+	} else {
+		clinic.failed++
+	}
+	clinic.decider.Unseat(selection, mishap, 30*time.Millisecond)
+}
+
+func (clinic *clinic) look() (failed, all int) {
+	failed, all = clinic.failed, clinic.all
+	clinic.failed, clinic.all = 0, 0
+	return failed, all
+}
+
+// idle are those that got nothing in a span up to now.
+func (clinic *clinic) idle(span time.Duration) (names []string) {
+	for name, sent := range clinic.sent {
+		if clinic.Now()-sent[len(sent)-1] > span {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// busiest is the replica that got the most.
+func (clinic *clinic) busiest() (most string) {
+	for name, sent := range clinic.sent {
+		if count := len(clinic.sent[most]); len(sent) > count || len(sent) == count && name < most {
+			most = name
+		}
+	}
+	return most
+}
+
+var badAnswer = &verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed", Status: 502}
+
+// TestMishapsKeepReplicasOut: a replica that fails a part of its requests gets few, and is
+// left alone longer each time; it is back at work soon after it fails no more.
+func TestMishapsKeepReplicasOut(t *testing.T) {
+	for _, path := range []string{resumedPath, oncePath} {
+		clinic := newClinic(t, 30, path)
+		clinic.Run(3 * time.Second)
+		clinic.look()
+		ill := clinic.busiest()
+		clinic.fails = func(replica string) *verdict.Mishap {
+			if replica == ill && clinic.Draw(10) < 4 {
+				return badAnswer
+			}
+			return nil
+		}
+		from := clinic.Now()
+		clinic.Run(20 * time.Second)
+		if failed, all := clinic.look(); failed == 0 || failed > 16 {
+			t.Errorf("%s: %d of %d failed", path, failed, all)
+		}
+		// Gaps between requests there; the first is for its first mishap, which weighs a little.
+		var gaps []time.Duration
+		last := from
+		for _, at := range clinic.sent[ill] {
+			if gap := at - last; at > from && gap > 700*time.Millisecond {
+				gaps = append(gaps, gap)
+			}
+			last = max(last, at)
+		}
+		if len(gaps) < 3 || slices.Max(gaps[2:]) <= gaps[1] || slices.Max(gaps) > 11*time.Second {
+			t.Errorf("%s: left alone for %v", path, gaps)
+		}
+		clinic.fails = func(string) *verdict.Mishap { return nil }
+		clinic.Run(15 * time.Second)
+		if names := clinic.idle(time.Second); len(names) > 0 {
+			t.Errorf("%s: %v are still left alone", path, names)
+		}
+	}
+}
+
+// TestReplicasAreTriedGently: what comes first to one that was held is far apart.
+func TestReplicasAreTriedGently(t *testing.T) {
+	clinic := newClinic(t, 30, resumedPath)
+	clinic.Run(2 * time.Second)
+	ill := clinic.busiest()
+	clinic.fails = func(replica string) *verdict.Mishap {
+		if replica == ill {
+			return badAnswer
+		}
+		return nil
+	}
+	from := clinic.Now()
+	clinic.Run(20 * time.Second)
+	late := 0
+	for at, when := range clinic.sent[ill] {
+		if when > from+time.Second {
+			late++
+			if gap := when - clinic.sent[ill][at-1]; gap < 140*time.Millisecond {
+				t.Errorf("two requests %v apart", gap)
+			}
+		}
+	}
+	if late == 0 || late > 12 {
+		t.Errorf("%d requests went to one that fails all", late)
+	}
+}
+
+// TestMostReplicasAreNeverOut: however many fail, at most two in five of a region's are
+// left alone; and where all fail alike none is.
+func TestMostReplicasAreNeverOut(t *testing.T) {
+	for _, replicas := range []int{2, 3, 12, 30, 60} {
+		clinic := newClinic(t, replicas, oncePath)
+		clinic.Run(3 * time.Second)
+		clinic.fails = func(string) *verdict.Mishap {
+			if clinic.Draw(10) < 3 {
+				return badAnswer
+			}
+			return nil
+		}
+		most := 0
+		for range 100 {
+			clinic.Run(100 * time.Millisecond)
+			most = max(most, len(clinic.decider.Held("a")))
+			inRegion := (replicas + 5) / 6 * 3
+			if replicas < 4 {
+				inRegion = replicas
+			}
+			if held := len(clinic.decider.Held("a")); held*5 > inRegion*2 {
+				t.Fatalf("%d of %d are left alone", held, inRegion)
+			}
+		}
+		if replicas == 2 && most > 0 {
+			t.Errorf("%d of 2 were left alone", most)
+		}
+	}
+}
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -49,6 +49,11 @@
 	unheardSpan = 2 * time.Second
 	silentSpan  = 100 * time.Millisecond
 	mostMissed  = 4
+	// muteTimes is how many times overdue a request must be at a replica that answers
+	// others.
+	muteTimes = 2
+	// declinedSpan is when a request is worth another try that a replica turned away.
+	declinedSpan = 75 * time.Millisecond
 	// gapTimes is how many of the longest timely pauses a resumable stream waits for its
 	// next event before another replica goes on with it.
 	gapTimes = 3
@@ -76,6 +81,12 @@
 		if mishap.Verdict == verdict.NotRun && doubt != nil {
 			return doubt
 		}
+		if mishap.Code == "replica_declined" && mishap.ComeBack == 0 {
+			// The caller's own further try goes elsewhere.
+			again := *mishap
+			again.ComeBack = declinedSpan
+			return &again
+		}
 		return mishap
 	}
 	for {
@@ -109,11 +120,11 @@
 				load = &decide.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}
 			}
 			executor.Decider.Heard(selection, load)
-			if failed := (&verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed", Message: "the replica failed", Status: 502}); answer.Status >= 500 && passage.again(failed) {
+			if mishap := failed(); answer.Status >= 500 && passage.again(mishap) {
 				answer.Close()
-				passage.unseat(failed)
+				passage.unseat(mishap)
 				passage.avoid[selection.Replica] = true
-				doubt = failed
+				doubt = mishap
 				continue
 			}
 			if passage.Head.Status == 0 {
@@ -164,7 +175,11 @@
 		if hasBegun {
 			return route.Resume && route.Gap > 0 && now-passage.heard > gapTimes*route.Gap && passage.mayGoOn()
 		}
-		return isSuspect && route.Repeatable() && passage.mayGoOn() && now-since > passage.executor.Decider.Overdue(selection)
+		if !route.Repeatable() || !passage.mayGoOn() {
+			return false
+		}
+		overdue := passage.executor.Decider.Overdue(selection)
+		return now-since > overdue && (isSuspect || now-since > muteTimes*overdue)
 	}
 }
 
@@ -230,7 +245,7 @@
 			passage.record.First = now - passage.routed.Came
 		}
 		passage.heard = now
-		passage.executor.Decider.Begun(passage.selection, true)
+		passage.executor.Decider.Begun(passage.selection, passage.answer.Status < 500)
 		passage.executor.Decider.Flowed(passage.selection)
 		if passage.Events {
 			passage.record.Events++
@@ -242,6 +257,10 @@
 	case errors.Is(err, io.EOF):
 		passage.err = io.EOF
 		passage.answer.Close()
+		if passage.answer.Status >= 500 {
+			// Passed on as it is, and yet a mishap of the replica's.
+			passage.unseat(failed())
+		}
 		passage.finish(nil)
 	default:
 		passage.answer.Close()
@@ -270,10 +289,15 @@
 		return true
 	}
 	passage.answer.Close()
-	passage.unseat(&verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed"})
+	passage.unseat(failed())
 	return false
 }
 
+// failed is the mishap of a replica that answered that it failed.
+func failed() *verdict.Mishap {
+	return &verdict.Mishap{Verdict: verdict.Ran, Code: "replica_failed", Message: "the replica failed", Status: 502}
+}
+
 // lastID is the id of the last event in the piece.
 func lastID(piece []byte) string {
 	at := bytes.LastIndex(piece, []byte("\nid:"))
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -38,6 +38,49 @@
 	// Slower multiplies all its times; 0 is 1.
 	Slower float64
 	Troubles
+	Grey Grey
+	// SaysIll makes its probes' answers say so, whatever it does.
+	SaysIll bool
+}
+
+// Grey is how a replica fails a share of its requests while its probes say that it is
+// well; the zero value fails none.
+type Grey struct {
+	// How is "errors" (500), "shed" (turned away, though there are places), "hang" (run
+	// and no answer), "reset" (the connection is, behind the request) or "mute" (as hang,
+	// and nothing runs).
+	How   string
+	Share float64
+	// Zone, if set, is that of the only daemons whose requests it fails.
+	Zone string
+}
+
+func (grey Grey) happens(engine *Engine, zone string) bool {
+	return grey.How != "" && (grey.Zone == "" || grey.Zone == zone) && engine.happens(grey.Share)
+}
+
+// greyed fails a request that came over a connection.
+func (engine *Engine) greyed(run *Run, one *work) {
+	run.Cold = engine.isCold()
+	engine.park.Runs = append(engine.park.Runs, run)
+	head := engine.load()
+	head.Events = false
+	switch engine.Grey.How {
+	case "shed":
+		run.NotRun, head.Status, head.NotRun = true, 503, true
+		one.send(wirePiece{head: &head})
+		return
+	case "errors":
+		head.Status = 500
+		one.send(wirePiece{head: &head})
+		one.send(wirePiece{isEnd: true})
+	case "reset":
+		one.send(wirePiece{err: errReset})
+	}
+	if engine.Grey.How != "mute" {
+		run.Ran = engine.park.Now()
+	}
+	run.Ended = "failed"
 }
 
 // Troubles are shares of a replica's requests that end badly.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -164,6 +164,10 @@
 			return // its daemon has closed the connection meanwhile
 		}
 		hop.engine, hop.one = engine, one
+		if engine.Grey.happens(engine, park.zones[node.Name]) {
+			engine.greyed(run, one)
+			return
+		}
 		engine.arrive(run, one)
 	})
 	if hop.isFar() {
@@ -302,6 +306,8 @@
 type probed struct {
 	vitals replica.Vitals
 	isFull bool
+	// saysIll is a false word.
+	saysIll bool
 }
 
 // engineDialect is how control daemons probe engines.
@@ -324,9 +330,9 @@
 		for len(engine.active) >= engine.Berths && len(engine.waiting) < engine.Queue {
 			loop.Sleep(at, 10*time.Millisecond)
 		}
-		isFull := len(engine.waiting) >= engine.Queue
+		isFull, saysIll := len(engine.waiting) >= engine.Queue, engine.SaysIll
 		vitals := replica.Vitals{Boot: engine.Life, Load: -1, Leaving: engine.Leaving, Cold: max(0, engine.ColdUntil-park.Now())}
-		park.Deliver(at, node.Name, func(*sim.Node) { box.Put(probed{vitals, isFull}) })
+		park.Deliver(at, node.Name, func(*sim.Node) { box.Put(probed{vitals, isFull, saysIll}) })
 	})
 	got, has := box.Take(patience)
 	if !has {
@@ -336,10 +342,12 @@
 	switch {
 	case vitals.Boot != target.ID:
 		return replica.Vitals{}, errors.New("another one answers at its address")
-	case vitals.Leaving || isFull:
+	case isFull:
 		// As the real dialect: a status that is no 200 is no answer.
 		return vitals, errors.New("the probe was answered 503")
 	}
+	// Whether it leaves only the list tells.
+	vitals.Ill, vitals.Leaving = vitals.Leaving || got.(probed).saysIll, false
 	return vitals, nil
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -87,6 +87,8 @@
 	Load    float64
 	// Cold is how much longer the replica stays cold, if it says so.
 	Cold time.Duration
+	// Ill tells that it answered, and said that it is not well.
+	Ill bool
 }
 
 // Client is what the product knows of replicas.
