--- a/fleet/scale.go
+++ b/fleet/scale.go
@@ -122,6 +122,8 @@
 	Last         float64 `json:"last_apply_ms"`
 	Status       int     `json:"status"`
 	Applied      int     `json:"applied"`
+	// Code says why a change was not acknowledged.
+	Code string `json:"code,omitempty"`
 }
 
 // scaleProcess is a real daemon.
@@ -537,6 +539,7 @@
 	processor := func(name string) float64 {
 		return (after.usages[name].processor - before.usages[name].processor) / span
 	}
+	figure("seconds", span)
 	data, resident := 0.0, 0.0
 	for _, one := range scale.datas {
 		data += processor(one.name) / ScaleReal
@@ -621,7 +624,7 @@
 func (scale *scale) change(ctx context.Context, document []byte) ScaleChange {
 	type ending struct {
 		status int
-		serial uint64
+		code   string
 		took   time.Duration
 	}
 	ended := make(chan ending, 1)
@@ -632,11 +635,18 @@
 	began := time.Now()
 	go func() {
 		status, text, _ := scale.ask("POST", scale.controls[0].http+"/v1/config", document)
-		ended <- ending{status, gjson.GetBytes(text, "serial").Uint(), time.Since(began)}
+		ended <- ending{status, gjson.GetBytes(text, "code").Str, time.Since(began)}
 	}()
 	out := ScaleChange{}
 	milliseconds := func(span time.Duration) float64 { return math.Round(span.Seconds()*1e4) / 10 }
-	for !(out.Acknowledged > 0 && out.Applied == len(scale.hollows)) && time.Since(began) < 20*time.Second && ctx.Err() == nil {
+	// One that was not acknowledged may yet come, but need not.
+	patience := func() time.Duration {
+		if out.Status != 0 && out.Status != http.StatusOK {
+			return 5 * time.Second
+		}
+		return 20 * time.Second
+	}
+	for !(out.Acknowledged > 0 && out.Applied == len(scale.hollows)) && time.Since(began) < patience() && ctx.Err() == nil {
 		out.Applied = 0
 		for _, one := range scale.hollows {
 			if one.Holder.View().Serial > before {
@@ -648,7 +658,7 @@
 		}
 		select {
 		case got := <-ended:
-			out.Status, out.Acknowledged = got.status, milliseconds(got.took)
+			out.Status, out.Code, out.Acknowledged = got.status, got.code, milliseconds(got.took)
 		case <-time.After(time.Millisecond):
 		}
 	}
