Young connections for what is sent once; lateness counts where places are free

Cause: a replica may drop an idle connection without notice, and what is sent on it is lost where it may be sent once only; a relay learns from such a reset how old idle connections may get there, and is wary of all for 5 s.

TestFlapping passes without vitals too: shunning is enough there.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,8 +61,8 @@
 	hasBegun bool
 	// isFlowing is from the first piece on.
 	isFlowing bool
-	// isLate tells that it was counted as overdue.
-	isLate bool
+	// isLate tells that it was counted as overdue, isCold that its replica was cold.
+	isLate, isCold bool
 	// Allowance is what is known beforehand to pass before the first piece on top of
 	// what is usual, such as the reading of what the replica does not keep; it is held
 	// against nobody.
--- a/decide/route.go
+++ b/decide/route.go
@@ -510,7 +510,7 @@
 	selection := &Selection{
 		Replica: best.row.Replica, Address: best.place.Address, Version: best.row.Version, Boot: best.place.Boot, Region: best.place.Region,
 		Serial: view.Serial, Cost: 1, Trial: best.row.Trial, Spill: best.place.Region != decider.Self.Region, call: &routed.call,
-		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat,
+		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat, isCold: best.place.Warm < 1,
 	}
 	seat.running++
 	seat.region, seat.model, seat.vitals.asked = best.place.Region, best.row.Model, now
@@ -572,7 +572,7 @@
 	}
 	if took > slowTimes*selection.Foreseen+slowMore {
 		if !selection.isLate {
-			decider.judgeVitals(selection, slowBad, now)
+			decider.judgeLate(selection, slowBad, now)
 		}
 	} else {
 		seat.vitals.well(now)
--- a/decide/vitals.go
+++ b/decide/vitals.go
@@ -133,11 +133,11 @@
 		return 0
 	}
 	switch mishap.Code {
-	case "replica_failed", "replica_cut", "cut", "replica_silent", "replica_garbled", "replica_unreached", "expired":
+	case "replica_failed", "replica_cut", "cut", "replica_garbled":
 		return 1
-	case "replica_declined":
+	case "replica_declined", "replica_silent", "expired":
 		if isEmpty {
-			return 1 // it turned away while it had places
+			return 1 // it turned away, or was late, while it had places
 		}
 	}
 	return 0
@@ -160,12 +160,22 @@
 	}
 }
 
+// judgeLate is judgeVitals for a late first piece, that says nothing of a replica that has
+// much to do, or is cold.
+func (decider *Decider) judgeLate(selection *Selection, bad float64, now time.Duration) {
+	view := decider.Holder()
+	if view.Tree == nil || selection.isCold || !selection.seat.isEmpty(view.Tree.Engine(selection.call.Model), now) {
+		return
+	}
+	decider.judgeVitals(selection, bad, now)
+}
+
 // overdueAt notes once that a request has no answer though it is overdue, and tells
 // whether its replica stands out; who holds the guard calls it.
 func (decider *Decider) overdueAt(selection *Selection, now time.Duration) bool {
 	if !selection.hasBegun && !selection.isLate && now-selection.sent > decider.Overdue(selection) {
 		selection.isLate = true
-		decider.judgeVitals(selection, overdueBad, now)
+		decider.judgeLate(selection, overdueBad, now)
 	}
 	return selection.seat.vitals.isHeld
 }
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -103,6 +103,7 @@
 		ask := &passage.ask
 		ask.Replica, ask.Address, ask.ID = selection.Replica, selection.Address, routed.ID
 		ask.Left, ask.Urgency, ask.Version = routed.Expiry-now, routed.Route.Urgency, ""
+		ask.Once = !routed.Route.Repeatable()
 		ask.Bind, ask.Connect, ask.Unheard = passage.leaver.Bind, connectSpan, unheardSpan
 		if selection.Spill {
 			ask.Connect *= 3
--- a/fleet/grey_test.go
+++ b/fleet/grey_test.go
@@ -1,6 +1,9 @@
 package fleet_test
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +72,86 @@
 		})
 	}
 }
+
+// TestFalseProbes: engines that say that they are ill and serve well stay in use; so do
+// the others when some say that they are well and fail all (TestPartlyFailing).
+func TestFalseProbes(t *testing.T) {
+	share := partly(t, func(park *fleet.Park, engine *fleet.Engine, _ bool) {
+		engine.SaysIll = fleet.Region(engine.Zone) == park.Shape.Regions[0]
+	})
+	if share < 1 {
+		t.Errorf("%.3f ended well", share)
+	}
+}
+
+// busiest are the engines that got the most requests since a time, the most first.
+func busiest(park *fleet.Park, since time.Duration, count int) (names []string) {
+	runs := map[string]int{}
+	for _, run := range park.Runs {
+		if run.At > since {
+			runs[run.Engine]++
+		}
+	}
+	for name := range runs {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(runs[b]-runs[a], strings.Compare(a, b)) })
+	return names[:min(count, len(names))]
+}
+
+// TestProbesWordIsNotEnough: engines that say that they are ill and serve well get requests.
+func TestProbesWordIsNotEnough(t *testing.T) {
+	park := fleet.NewPark(1, fleet.RoutedShapes["large"].Plan())
+	defer park.Close()
+	park.Run(warmRouted)
+	ill := busiest(park, 0, 5)
+	for _, name := range ill {
+		park.Engines[name].SaysIll = true
+	}
+	park.Run(8 * time.Second)
+	from := park.Now()
+	park.Run(6 * time.Second)
+	used := busiest(park, from, 100)
+	for _, name := range ill {
+		if !slices.Contains(used, name) {
+			t.Errorf("%s says that it is ill, and gets nothing", name)
+		}
+	}
+}
+
+func others(park *fleet.Park, name string) []string {
+	return slices.DeleteFunc(slices.Clone(park.Names()), func(other string) bool { return other == name })
+}
+
+// TestFlapping: engines that go down and up by turns cost few requests, and are used
+// again once they stay.
+func TestFlapping(t *testing.T) {
+	park := fleet.NewPark(1, fleet.RoutedShapes["large"].Plan())
+	defer park.Close()
+	park.Run(warmRouted)
+	facts := park.BeginRouted()
+	names := busiest(park, 0, 2)
+	for range 5 {
+		for _, name := range names {
+			park.Split([]string{name}, others(park, name), true)
+		}
+		park.Run(1200 * time.Millisecond)
+		for _, name := range names {
+			park.Split([]string{name}, others(park, name), false)
+		}
+		park.Run(1200 * time.Millisecond)
+	}
+	until := park.Now()
+	park.Run(20 * time.Second)
+	answered, asked := fleet.RoutedRate(park, facts.From, until)
+	t.Logf("%d of %d ended well", answered, asked)
+	if answered*100 < asked*90 {
+		t.Error("too few")
+	}
+	used := busiest(park, park.Now()-6*time.Second, 100)
+	for _, name := range names {
+		if !slices.Contains(used, name) {
+			t.Errorf("%s is not used again", name)
+		}
+	}
+}
--- a/replica/relay.go
+++ b/replica/relay.go
@@ -39,6 +39,8 @@
 	Urgency int
 	After   string
 	Version string
+	// Once tells that it may not be sent again after a mishap.
+	Once bool
 	// Gate is asked at the last moment before bytes go out.
 	Gate func() *verdict.Mishap
 	// Bind, if set, is told how to abort from outside; nil when nothing is under way.
@@ -99,6 +101,11 @@
 	Dialect Dialect
 	guard   sync.Mutex
 	idle    map[string][]*line
+	// ages bound how old idle connections may get, by address, where replicas were seen
+	// to drop them; wary is until when all replicas are taken to, for requests that may
+	// be sent once only.
+	ages map[string]age
+	wary time.Duration
 	// Opened counts new connections.
 	Opened uint64
 }
@@ -138,6 +145,66 @@
 	closed  sync.Once
 }
 
+// isDropped tells whether the other side ended a connection, and not this daemon.
+func isDropped(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+}
+
+// idleSince is when the connection was last used; zero for none.
+func (one *line) idleSince() time.Duration {
+	if one == nil {
+		return 0
+	}
+	return one.since
+}
+
+// age is how old an idle connection may get, which is forgotten at a time.
+type age struct{ most, until time.Duration }
+
+// Bounds of what is learned from an idle connection that was dropped without notice.
+const (
+	leastAge    = 50 * time.Millisecond
+	leastIdle   = 200 * time.Millisecond
+	wariestAge  = time.Second
+	droppedSpan = 20 * time.Second
+	warySpan    = 5 * time.Second
+	// droppedSoon is how fast what was sent on one is answered by a reset.
+	droppedSoon = 250 * time.Millisecond
+)
+
+// isFresh tells whether the connection was used so short a while ago that the request
+// may go on it; who holds the guard calls it.
+func (relay *Relay) isFresh(ask *Ask, one *line, now time.Duration) bool {
+	bound := relay.ages[ask.Address]
+	most := one.until
+	if now < bound.until {
+		most = min(most, one.since+bound.most)
+	}
+	if ask.Once && now < relay.wary {
+		most = min(most, one.since+wariestAge)
+	}
+	return now < most
+}
+
+// dropped learns that a replica had dropped a connection after it was idle for so long.
+func (relay *Relay) dropped(address string, idle time.Duration) {
+	if idle < leastIdle {
+		return // something else ended it
+	}
+	now := relay.World.Now()
+	relay.guard.Lock()
+	defer relay.guard.Unlock()
+	if relay.ages == nil {
+		relay.ages = map[string]age{}
+	}
+	most := max(leastAge, idle/2)
+	if before := relay.ages[address]; now < before.until {
+		most = min(most, before.most)
+	}
+	relay.ages[address] = age{most, now + droppedSpan}
+	relay.wary = now + warySpan
+}
+
 // idleRoutedMost bounds how many connections wait per replica.
 const idleRoutedMost = 32
 
@@ -152,8 +219,9 @@
 		}
 		last := list[len(list)-1]
 		relay.idle[ask.Address] = list[:len(list)-1]
+		isFresh := relay.isFresh(ask, last, now)
 		relay.guard.Unlock()
-		if now < last.until && last.boot == ask.Replica && last.alive() {
+		if isFresh && last.boot == ask.Replica && last.alive() {
 			return last, true, nil
 		}
 		last.Close()
@@ -178,7 +246,7 @@
 	if keep <= 0 {
 		keep = idleSpan
 	}
-	one.until = now + keep*3/4
+	one.since, one.until = now, now+keep*3/4
 	relay.guard.Lock()
 	defer relay.guard.Unlock()
 	if relay.idle == nil {
@@ -218,7 +286,8 @@
 // Send sends the request and waits for the head of its answer. A mishap of NotRun
 // means that no replica has run it, or will.
 func (relay *Relay) Send(ask *Ask) (*Answer, *verdict.Mishap) {
-	one, _, err := relay.take(ask)
+	one, isOld, err := relay.take(ask)
+	idle := relay.World.Now() - one.idleSince()
 	if err != nil {
 		return nil, &verdict.Mishap{Verdict: verdict.NotRun, Code: "replica_unreached", Message: "the replica can't be reached", Status: 503, Cause: err}
 	}
@@ -249,9 +318,13 @@
 	writer.Reset(nil)
 	writers.Put(writer)
 	if err != nil {
+		if isOld && isDropped(err) {
+			relay.dropped(ask.Address, idle)
+		}
 		return cut("replica_cut", err)
 	}
-	expiry := relay.World.Now() + ask.Left
+	sent := relay.World.Now()
+	expiry := sent + ask.Left
 	for passed := 0; ; passed++ {
 		if err := relay.wait(ask, one, expiry, false); err != nil {
 			switch {
@@ -260,6 +333,10 @@
 			case isExpired(err):
 				return cut("expired", err)
 			}
+			if isOld && isDropped(err) && passed == 0 && relay.World.Now()-sent < droppedSoon {
+				// No replica gives up a request that fast: the connection was gone.
+				relay.dropped(ask.Address, idle)
+			}
 			return cut("replica_cut", err)
 		}
 		answer := &fasthttp.Response{StreamBody: true}
