TestReplaceBeneath: the deaf daemon hears again at a spread of moments

An office now offers what it knows under the serial (told), and at 700 ms c1's reading of the configuration always came before its change's end: in all 9 cases the office knew serial 3 already, so that what it took wrongly was passed over. Ruled out, by printing what the change revised, what the register holds and what the office knew: that both are the same, or that the mutant's branch is not reached.

--- a/fleet/replace_test.go
+++ b/fleet/replace_test.go
@@ -333,7 +333,9 @@
 			}
 		}
 		park.At(time.Duration(seed)*500*time.Microsecond, func() { deaf(true) })
-		park.At(700*time.Millisecond, func() { deaf(false) })
+		// When it hears again decides whether its change or another of its readings is the
+		// first to tell it what stands; the former is the one that may offer the wrong one.
+		park.At(300*time.Millisecond+time.Duration(seed)*40*time.Millisecond, func() { deaf(false) })
 		done := false
 		var applied permit.Applied
 		var err error
