Data daemons stay with the control daemon that answered, and turn home now and then

Ruled out: how a region's first probes are waited for (reverted, still red). The one that answered last comes first again, and each 32nd ask begins at home.

--- a/session/session.go
+++ b/session/session.go
@@ -301,14 +301,19 @@
 	controls []Member
 	known    uint64 // the sum of controls
 	at       string
+	listed   uint64 // how often the addresses were listed
 	// shunned is until when a control daemon that gave no good answer comes last.
 	shunned map[string]time.Duration
 }
 
+// homeward is every how many asks a daemon turns to its own zone's control daemons.
+const homeward = 32
+
 // Controls are addresses of control daemons, the best first.
 func (client *Client) Controls() []string {
 	client.guard.Lock()
 	defer client.guard.Unlock()
+	client.listed++
 	var addresses []string
 	seen := map[string]bool{}
 	add := func(address string) {
@@ -318,13 +323,15 @@
 		}
 	}
 	near := func(wanted bool) {
-		// Those in the zone come first among the near, as all daemons of a region would
-		// otherwise stay with its seed; then the one that answered last.
-		for _, isSo := range []func(member Member) bool{
-			func(member Member) bool { return member.Zone == client.Zone },
-			func(member Member) bool { return member.Wire == client.at },
-			func(Member) bool { return true },
-		} {
+		// The one that answered last comes first among the near, but now and then those in
+		// the zone, as all daemons of a region would otherwise stay with its seed.
+		isLast := func(member Member) bool { return member.Wire == client.at }
+		isHere := func(member Member) bool { return member.Zone == client.Zone }
+		order := []func(member Member) bool{isLast, isHere, func(Member) bool { return true }}
+		if client.listed%homeward == 0 {
+			order[0], order[1] = isHere, isLast
+		}
+		for _, isSo := range order {
 			for _, member := range client.controls {
 				if (member.Region == client.Region) == wanted && isSo(member) && !member.Leaving {
 					add(member.Wire)
