A repeated order waits from when its change was first seen, not from its own coming

Cause: a change waits for permits of holders that are gone, 1.9 s; the operator gives each daemon 1 s, and each next one began the wait anew. Ruled out: the core (decided in 0.2 s), offers not taken.

--- /dev/null
+++ b/fleet/repeated_test.go
@@ -0,0 +1,57 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"swifttiller/controlplane"
+)
+
+// An operator who gives up on a try after a second goes on to another daemon, which must
+// not begin to wait anew for a data daemon that is gone; nor may it answer before the
+// permits under the configuration before are over.
+func TestARepeatedOrderIsNotWaitedForAnew(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		for _, isCut := range []bool{false, true} {
+			park := selfMade(t, seed, 3)
+			park.Run(3 * time.Second)
+			names := []string{}
+			for name := range park.Datas {
+				names = append(names, name)
+			}
+			if len(names) < 2 {
+				t.Fatalf("seed %d: vacuous: %d data daemons", seed, len(names))
+			}
+			lost := names[0]
+			length := time.Duration(1.05 * float64(park.Datas[lost].Holder.View().Tree.Span("permit_ms", "")))
+			if isCut {
+				park.Split([]string{lost}, park.Names(), true)
+			} else {
+				park.Crash(lost)
+			}
+			began := park.Now()
+			evacuate := func(daemon *controlplane.Daemon) error {
+				_, err := daemon.Evacuate("west-1", false)
+				return err
+			}
+			// One try every second, each at another daemon.
+			acknowledged := time.Duration(0)
+			for turn, name := range []string{"c1", "c2", "c3", "c1", "c2", "c3"} {
+				if err := park.Do(name, time.Second, evacuate); err == nil {
+					acknowledged = park.Now()
+					break
+				}
+				park.Run(time.Duration(turn+1)*time.Second - (park.Now() - began))
+			}
+			if acknowledged == 0 || acknowledged-began > length+300*time.Millisecond {
+				t.Errorf("seed %d: acknowledged %v after the first try; permits are over after %v", seed, acknowledged-began, length)
+			}
+			if isCut {
+				if view := park.Datas[lost].Holder.View(); acknowledged < view.Expiry {
+					t.Errorf("seed %d: acknowledged at %v, but a daemon that was cut off served under the configuration before until %v", seed, acknowledged, view.Expiry)
+				}
+			}
+			park.Close()
+		}
+	})
+}
--- a/permit/office.go
+++ b/permit/office.go
@@ -130,6 +130,9 @@
 	serial uint64
 	config Config
 	tree   *settings.Tree
+	// taken is when serial was first seen here, by when it was decided; lapse is how long
+	// permits under those before it, as far as they were seen, may stand from then on.
+	taken, lapse time.Duration
 	// packed is what data daemons are told of config; nil until the first is.
 	packed []byte
 	parsed *settings.Tree // the last that Parse made
@@ -186,11 +189,24 @@
 	office.guard.Lock()
 	defer office.guard.Unlock()
 	if serial > office.serial {
+		now, lapse := office.World.Now(), tree.Span("permit_ms", "")
+		if office.tree != nil {
+			lapse = max(lapse, office.tree.Span("permit_ms", ""), office.taken+office.lapse-now)
+		}
+		office.taken, office.lapse = now, lapse
 		office.serial, office.config, office.tree, office.packed = serial, config, tree, nil
 	}
 	return nil
 }
 
+// since gives when the configuration under the serial was first seen here, and the lapse;
+// false when this office knows another one.
+func (office *Office) since(serial uint64) (taken, lapse time.Duration, isKnown bool) {
+	office.guard.Lock()
+	defer office.guard.Unlock()
+	return office.taken, office.lapse, office.serial == serial
+}
+
 // Parse is settings.Parse, which remembers the last document that had no problems.
 func (office *Office) Parse(document []byte) (*settings.Tree, settings.Problems) {
 	office.guard.Lock()
@@ -446,6 +462,7 @@
 		return Applied{Serial: value.Serial}, err
 	}
 	serial, _, before := office.Current()
+	taken, lapse, isKnown := office.since(value.Serial)
 	if err := office.take(value.Serial, next); err != nil {
 		return Applied{Serial: value.Serial}, err
 	}
@@ -462,6 +479,11 @@
 			}
 		}
 	}
+	if isKnown {
+		// It was decided before this order came, by the same order at another daemon:
+		// permits under those before it run out from then on, not from now.
+		decided, length = taken, max(length, lapse)
+	}
 	length += time.Duration(Drift * float64(length))
 	packed, err := office.told(value.Serial)
 	if errors.Is(err, errNewer) {
@@ -489,7 +511,7 @@
 		return taken.Incarnation
 	}
 	var holders map[string]Record
-	for round := 0; !office.isAcknowledged(value.Serial); round++ {
+	for round := 0; !office.isAcknowledged(value.Serial) && (round > 0 || office.World.Now() < expiry); round++ {
 		// Those that are members are told while the records are read, which say who else
 		// there is.
 		var live []session.Session
