A silent vote of an even core is dropped late, one that went in order soon

Silence alone now takes 30 s; a session that ended without a span of silence was over by its own word, and takes 1.5 s. The test of replaced machines passes by the latter alone.

--- a/controlplane/tender.go
+++ b/controlplane/tender.go
@@ -21,8 +21,9 @@
 const MostVotes = 7
 
 // dropAfter is how many bounds one of an even core may be unheard before its vote goes
-// without another in its place; one that went in order is waited for but once.
-const dropAfter = 4
+// without another in its place: longer than a region is usually out of reach, as each
+// change of the core costs a copy. One that went in order is waited for but once.
+const dropAfter = 20
 
 // Sighting is the last that was heard of an acceptor's daemon. Unheard counts from
 // then, or from when this daemon began to look if it never heard of it.
@@ -162,8 +163,12 @@
 	}
 	for _, member := range core.Members {
 		if _, isMember := seen[member.ID]; !isMember {
-			if _, known := tender.since[member.ID]; !known {
+			if since, known := tender.since[member.ID]; !known {
 				tender.since[member.ID] = now
+			} else if one, isHeard := tender.seen[member.ID]; isHeard && now-since < daemon.span() {
+				// Silence ends a session after a whole span: this one said that it was over.
+				one.Leaving = true
+				tender.seen[member.ID] = one
 			}
 			seen[member.ID] = Sighting{Member: tender.seen[member.ID], Unheard: now - tender.since[member.ID]}
 		}
