Control daemons tell mishaps elsewhere once a session, standings applied by their marks

Now mishaps of models that no run is about are told with the near outcomes, at once within the region as before and elsewhere once a session; declines count as counts do; standings that a daemon applies go with its mark where the colleague was not told them yet. Reports of models with a run under way go to all at once, as before. Ruled out: telling each region's mishaps to its own duty's holder alone, as a duty may be held in any region.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -768,7 +768,7 @@
 	slices.SortFunc(report.Failed, func(a, b standing.Held) int { return cmp.Compare(a.Model+"|"+a.Version, b.Model+"|"+b.Version) })
 	isSteady := steady(view)
 	for _, one := range ordered(decider.recent(now)) {
-		if isSteady(one.Model) && one.Mishaps+one.Unreached+one.Late == 0 {
+		if isSteady(one.Model) {
 			report.Near = append(report.Near, one)
 		} else {
 			report.Recent = append(report.Recent, one)
--- a/fleet/heavy_test.go
+++ b/fleet/heavy_test.go
@@ -68,3 +68,55 @@
 		t.Errorf("control traffic: a core machine that lost its disk: %d bytes of queries and %d of accepts between regions, %d of queries in calm, for a configuration of %d", queries, accepts, calm, packed)
 	}
 }
+
+// crowded is a grown fleet whose engines have callers.
+func crowded(busy float64) fleet.Plan {
+	plan := fleet.RoutedShape{Regions: []string{"east", "middle", "west"}, Engines: []int{40, 30, 20}, Datas: []int{29, 31, 28}, Busy: busy, Reports: true}.Plan()
+	for index, word := range plan.Controls {
+		plan.Controls = append(plan.Controls, "c"+string(rune('4'+index))+word[2:])
+	}
+	return plan
+}
+
+// TestMishapsTravelSlowly: what control daemons tell each other of data daemons with
+// callers stays within twice that of calm while replicas fail, and after a region was cut
+// off; in calm it is within 900 bytes a second and data daemon.
+func TestMishapsTravelSlowly(t *testing.T) {
+	if testing.Short() {
+		t.Skip("88 data daemons")
+	}
+	park := apart(1, crowded(3))
+	defer park.Close()
+	shared := func(what string) int {
+		bytes, calls := tallied(park, func() { park.Run(4 * time.Second) })
+		t.Logf("%s, 4 s: %d shares between regions, %d bytes; %d requests and %d runs since the start", what, calls["Session.Share"], bytes["Session.Share"], len(park.RoutedRequests), len(park.Runs))
+		return bytes["Session.Share"]
+	}
+	calm := shared("calm")
+	if calm > 4*900*len(park.Datas) || calm == 0 {
+		t.Errorf("control traffic: %d bytes of shares between regions in 4 s of calm", calm)
+	}
+	for index, options := range park.Plan.Engines {
+		if index%8 == 0 {
+			park.Engines[options.Name].Grey = fleet.Grey{How: "errors", Share: 0.5}
+		}
+	}
+	before := len(park.Runs)
+	if failing := shared("an eighth of the replicas fails"); failing > 2*calm || len(park.Runs)-before < 500 {
+		t.Errorf("control traffic: %d bytes of shares between regions in 4 s while replicas fail, %d in calm", failing, calm)
+	}
+	var west, rest []string
+	for _, name := range park.Names() {
+		if fleet.Region(park.Zone(name)) == "west" {
+			west = append(west, name)
+		} else {
+			rest = append(rest, name)
+		}
+	}
+	park.Split(west, rest, true)
+	park.Run(4 * time.Second) // what is sent meanwhile goes nowhere
+	park.Split(west, rest, false)
+	if healed := shared("a region is back"); healed > 2*calm {
+		t.Errorf("control traffic: %d bytes of shares between regions in 4 s after a cut, %d in calm", healed, calm)
+	}
+}
--- a/session/share.go
+++ b/session/share.go
@@ -11,6 +11,7 @@
 
 	"swifttiller/loop"
 	"swifttiller/register"
+	"swifttiller/standing"
 )
 
 // Shared is what one control daemon tells another, and the other's answer.
@@ -39,6 +40,9 @@
 	Permit uint64
 	// Kept are, in the order of their regions, the ages of what a control daemon keeps.
 	Kept []uint64
+	// Applied are, in the order of their regions, the standings that a data daemon
+	// applies; left out where the callee has been told them.
+	Applied []uint64
 }
 
 // Content is a session's content.
@@ -49,11 +53,15 @@
 
 // told is what is told of a row: its content with what marks tell left out, and the
 // serials that it has for colleagues in the same region and elsewhere.
+//
+// Invariant: isOwed exactly while colleagues elsewhere have not been told of mishaps that
+// the content has.
 type told struct {
 	content    Session
 	near, far  uint64
 	at         time.Duration // when the far serial was given
 	hasContent bool
+	isOwed     bool
 }
 
 // tale is what a colleague tells.
@@ -70,9 +78,10 @@
 }
 
 // colleague is what another control daemon is known to have of this one's sessions:
-// serials by slot.
+// serials by slot, and the standings applied.
 type colleague struct {
 	serials  map[uint64]uint64
+	applied  map[uint64][]uint64
 	epoch    uint64
 	answered time.Duration
 }
@@ -105,26 +114,39 @@
 			session.Member.Keeps[region] = one
 		}
 	}
+	applied := session.Report.Standing
+	session.Report.Standing = nil
+	if len(applied) > 0 {
+		session.Report.Standing = map[string]uint64{}
+		for region := range applied {
+			session.Report.Standing[region] = 0
+		}
+	}
 	return session
 }
 
-// next gives what is told of a session from now on. Near are the outcomes that only
-// colleagues in the region are told, and counts alone make nobody listen again soon.
+// next gives what is told of a session from now on. Of the near outcomes colleagues
+// elsewhere are told the mishaps alone, once a session at the most; counts alone make
+// nobody listen again soon.
 func (table *Table) next(before told, session Session, now time.Duration) told {
 	next := before
 	next.content = content(session)
-	if before.hasContent && reflect.DeepEqual(before.content, next.content) {
+	isSame := before.hasContent && reflect.DeepEqual(before.content, next.content)
+	if isSame && !before.isOwed {
 		return before
 	}
-	table.serials++
-	next.near, next.hasContent = table.serials, true
+	if table.serials++; !isSame {
+		next.near, next.hasContent = table.serials, true
+	}
 	older, newer := before.content, next.content
-	older.Report.Near, newer.Report.Near = nil, nil
+	next.isOwed = before.isOwed || !slices.Equal(standing.Wrong(older.Report.Near), standing.Wrong(newer.Report.Near))
 	for _, one := range []*Session{&older, &newer} {
+		one.Report.Near, one.Report.Declined = nil, nil
 		one.Report.Demanded, one.Report.Retries, one.Report.Allowed, one.Report.Queue = 0, 0, 0, 0
 	}
-	if !before.hasContent || now-before.at > slowly*table.Span() || !reflect.DeepEqual(older, newer) {
-		next.far, next.at = table.serials, now
+	age := now - before.at
+	if !before.hasContent || age > slowly*table.Span() || next.isOwed && age >= table.Span() || !reflect.DeepEqual(older, newer) {
+		next.far, next.at, next.isOwed = table.serials, now, false
 	}
 	return next
 }
@@ -185,6 +207,7 @@
 			have, known = heard{one.Serial, one.Session, at}, true
 		}
 		if known {
+			have.session.Report.Standing = applied(have.session.Report.Standing, mark.Applied)
 			tells.slots[mark.Slot] = have
 		}
 		if !known || have.serial < mark.Serial {
@@ -213,6 +236,19 @@
 	return lacks, sessions
 }
 
+// applied gives the standings that a data daemon applies, of which a mark told some anew.
+// They rise, so what comes late changes nothing.
+func applied(have map[string]uint64, told []uint64) map[string]uint64 {
+	if len(told) == 0 || len(told) != len(have) {
+		return have
+	}
+	out := make(map[string]uint64, len(have))
+	for index, region := range slices.Sorted(maps.Keys(have)) {
+		out[region] = max(have[region], told[index])
+	}
+	return out
+}
+
 // take takes sessions that the incarnation of a colleague tells, its own among them.
 func (table *Table) take(from string, sessions []Session) {
 	now := table.World.Now()
@@ -232,7 +268,7 @@
 }
 
 // give is what to tell a colleague that has what is given.
-func (table *Table) give(address string) (Shared, map[uint64]uint64) {
+func (table *Table) give(address string) (Shared, *colleague) {
 	now := table.World.Now()
 	table.guard.Lock()
 	defer table.guard.Unlock()
@@ -249,7 +285,7 @@
 	if core.Epoch > have.epoch {
 		out.Core = core
 	}
-	serials := map[uint64]uint64{}
+	next := &colleague{serials: map[uint64]uint64{}, applied: map[uint64][]uint64{}}
 	tell := func(slot uint64, told told, session Session, age time.Duration) {
 		mark := Mark{Slot: slot, Serial: told.far, Age: uint64((age + time.Millisecond - 1) / time.Millisecond), Permit: uint64(max(0, session.Report.Permit) / time.Millisecond)}
 		if isNear {
@@ -258,13 +294,21 @@
 		for _, region := range slices.Sorted(maps.Keys(session.Member.Keeps)) {
 			mark.Kept = append(mark.Kept, uint64((session.Member.Keeps[region].Age+time.Millisecond-1)/time.Millisecond))
 		}
+		var standings []uint64
+		for _, region := range slices.Sorted(maps.Keys(session.Report.Standing)) {
+			standings = append(standings, session.Report.Standing[region])
+		}
+		next.serials[slot], next.applied[slot] = mark.Serial, standings
+		isTold := have.serials[slot] == mark.Serial
+		if isTold && !slices.Equal(have.applied[slot], standings) {
+			mark.Applied = standings
+		}
 		out.Marks = append(out.Marks, mark)
-		serials[slot] = mark.Serial
-		if have.serials[slot] == mark.Serial {
+		if isTold {
 			return
 		}
 		if !isNear {
-			session.Report.Near = nil
+			session.Report.Near = standing.Wrong(session.Report.Near)
 		}
 		out.Sessions = append(out.Sessions, Content{slot, mark.Serial, session})
 	}
@@ -278,18 +322,19 @@
 	tell(0, table.own, self, 0)
 	sort.Slice(out.Marks, func(a, b int) bool { return out.Marks[a].Slot < out.Marks[b].Slot })
 	sort.Slice(out.Sessions, func(a, b int) bool { return out.Sessions[a].Slot < out.Sessions[b].Slot })
-	return out, serials
+	return out, next
 }
 
 // answered notes what a colleague has now.
-func (table *Table) answered(address string, serials map[uint64]uint64, back *Shared) {
+func (table *Table) answered(address string, now *colleague, back *Shared) {
 	table.Keeper.Learn(back.Core)
 	table.guard.Lock()
 	defer table.guard.Unlock()
 	for _, slot := range back.Lacks {
-		delete(serials, slot)
+		delete(now.serials, slot)
 	}
-	table.colleaguesHave[address] = &colleague{serials: serials, epoch: back.Epoch, answered: table.World.Now()}
+	now.epoch, now.answered = back.Epoch, table.World.Now()
+	table.colleaguesHave[address] = now
 }
 
 // Run shares the sessions with the colleagues until the world ends.
@@ -301,12 +346,12 @@
 		loop.Gather(table.World, len(addresses), table.Span()/4, func(index int) bool {
 			// One that lacks something, as it began anew, is told at once.
 			for try := 0; try < 2; try++ {
-				shared, serials := table.give(addresses[index])
+				shared, next := table.give(addresses[index])
 				back := new(Shared)
 				if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
 					break
 				}
-				table.answered(addresses[index], serials, back)
+				table.answered(addresses[index], next, back)
 				if len(back.Lacks) == 0 {
 					break
 				}
--- a/session/share_test.go
+++ b/session/share_test.go
@@ -132,6 +132,59 @@
 	})
 }
 
+func TestMishapsTravelOnceASession(t *testing.T) {
+	Convey("mishaps that change with every beat are told elsewhere once a session, and the last ones in the end", t, func() {
+		circle := newCircle(1)
+		defer circle.Close()
+		mishaps, isOver := 0, false
+		for index := 0; index < 20; index++ {
+			circle.beats(fmt.Sprint("d", index), "x", func() standing.Report {
+				if !isOver {
+					mishaps++
+				}
+				return standing.Report{Near: []standing.Outcome{
+					{Replica: "some replica", Model: "some model", Kind: "some kind", OK: 1 + mishaps, Mishaps: mishaps},
+					{Replica: "another replica", Model: "some model", Kind: "some kind", OK: 1 + mishaps},
+				}}
+			})
+		}
+		circle.Run(3 * time.Second)
+		before := circle.Bytes["Session.Share"]
+		circle.Run(10 * time.Second)
+		// A content has some 150 bytes, and is told to two; marks are as in calm. Told with
+		// every beat it would be six times as much.
+		So((circle.Bytes["Session.Share"]-before)/10, ShouldBeLessThan, 20*2*(6*20+200))
+		isOver = true
+		circle.Run(2 * time.Second)
+		one, isLive := circle.tables["y"].Find("d7")
+		So(isLive, ShouldBeTrue)
+		So(len(one.Report.Near), ShouldEqual, 1)
+		last, _ := circle.tables["x"].Find("d7")
+		So(len(last.Report.Near), ShouldEqual, 2)
+		So(one.Report.Near[0], ShouldResemble, last.Report.Near[0])
+	})
+	Convey("standings that a daemon applies are known a beat and a share later, for a few bytes", t, func() {
+		circle := newCircle(2)
+		defer circle.Close()
+		serial := uint64(1)
+		for index := 0; index < 20; index++ {
+			circle.beats(fmt.Sprint("d", index), "x", func() standing.Report {
+				return standing.Report{Demand: map[string]float64{"some long name of a model and more": 1}, Standing: map[string]uint64{"x": serial, "y": 7}}
+			})
+		}
+		circle.Run(3 * time.Second)
+		before := circle.Bytes["Session.Share"]
+		circle.Run(time.Second)
+		calm := circle.Bytes["Session.Share"] - before
+		serial++
+		circle.Run(500 * time.Millisecond)
+		one, _ := circle.tables["y"].Find("d7")
+		So(one.Report.Standing, ShouldResemble, map[string]uint64{"x": 2, "y": 7})
+		circle.Run(500 * time.Millisecond)
+		So(circle.Bytes["Session.Share"]-before-2*calm, ShouldBeLessThan, 20*2*20)
+	})
+}
+
 func TestClientsStayInTheirRegion(t *testing.T) {
 	Convey("a daemon beats at its own region's control daemon, at another while that is out, and comes back", t, func() {
 		circle := newCircle(1)
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -37,6 +37,16 @@
 	return Outcome{Replica: outcome.Replica, Model: outcome.Model, Version: outcome.Version, Kind: outcome.Kind, Boot: outcome.Boot}
 }
 
+// Wrong are the outcomes of a list that have mishaps or late ones.
+func Wrong(list []Outcome) (out []Outcome) {
+	for _, one := range list {
+		if one.Mishaps+one.Unreached+one.Late > 0 {
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
 // Window is how far back the recent outcomes of a report reach.
 const Window = 6 * time.Second
 
@@ -68,8 +78,8 @@
 	// Recent covers the last few seconds; Total everything since its start, with
 	// the region in the replica's place.
 	Recent, Total []Outcome
-	// Near are recent outcomes that only its own region needs to hear of: whole ones,
-	// of models that no run is about and whose credits nobody deals.
+	// Near are recent outcomes that its own region needs to hear of most, of models that
+	// no run is about and whose credits nobody deals. Elsewhere the wrong ones are heard of.
 	Near []Outcome
 	// Failed are the versions on trial or watched that plainly fail by its own counts.
 	Failed []Held
