--- a/register/epoch_test.go
+++ b/register/epoch_test.go
@@ -107,6 +107,16 @@
 		if err != register.ErrNoMajority {
 			t.Errorf("fallback: two of four were counted as a majority: %v", err)
 		}
+		var wrote error
+		ended := bench.do("b", 30*time.Second, func(keeper *register.Keeper) { _, wrote = keeper.Swap("k", 0, []byte("v")) })
+		if !ended || wrote == nil {
+			t.Errorf("fallback: two of four took a change: ended %v, %v", ended, wrote)
+		}
+		keys, err := []string(nil), error(nil)
+		bench.do("b", 30*time.Second, func(keeper *register.Keeper) { keys, err = keeper.List("") })
+		if err != register.ErrNoMajority {
+			t.Errorf("fallback: two of four were counted as a majority of a listing: %v %v", keys, err)
+		}
 	})
 }
 
