--- a/permit/edition_test.go
+++ b/permit/edition_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"swifttiller/loop"
 	"swifttiller/settings"
 )
 
@@ -27,7 +28,7 @@
 // learned is an office that has seen the documents, under serials from 1 on.
 func learned(t *testing.T, documents ...[]byte) *Office {
 	t.Helper()
-	office := &Office{}
+	office := &Office{Options: Options{World: loop.NewMachine()}}
 	for index, document := range documents {
 		if err := office.take(uint64(index+1), Config{Document: document, Evacuated: []string{"a-1"}[:index%2]}); err != nil {
 			t.Fatal(err)
