What a cold replica bears goes by turns to daemons of its region and the others

The requests of koshi's callers for notices, whose homes are the other two regions, were declined there until 40 s (1,628 of no_replica, 450 to 547 in each of the first seconds, with replicas idle). Ranks now go by turns. Ruled out: permits (all stood at 37.0 s, the core's last daemon listened at 36.4), the sum (33 a second and daemon in its own region, 8 needed).

--- a/decide/route.go
+++ b/decide/route.go
@@ -337,26 +337,34 @@
 }
 
 // coldPart is this daemon's part of the whole that a cold replica may be sent in a
-// second: as even as can be, and the rest by the daemons' ranks, those of the replica's
-// own region first. Daemons counts also those that are not members but may still send:
-// what their ranks would bring is given to nobody.
+// second: as even as can be, and the rest by the daemons' ranks. Those of the replica's
+// own region and the others take turns, as some of what comes elsewhere may run in this
+// region alone. Daemons counts also those that are not members but may still send: what
+// their ranks would bring is given to nobody.
 //
 // Invariant: the parts of daemons that go by the same members sum up to no more than the
 // whole, however many they are.
 func coldPart(whole int, members []session.Member, self session.Member, place *standing.Place, daemons int) int {
 	key := nameKey(place.ID + "/" + place.Boot)
 	isNear, own := self.Region == place.Region, score(key, self.Name)
-	rank, count := 0, 1
+	turn, unlike, count := 0, 0, 1 // the turn among those like this one, and how many are not
 	for _, one := range members {
 		if one.Role != session.Data || one.Name == self.Name {
 			continue
 		}
 		count++
-		near, other := one.Region == place.Region, score(key, one.Name)
-		if near != isNear && near || near == isNear && (other > own || other == own && one.Name < self.Name) {
-			rank++
+		other := score(key, one.Name)
+		switch {
+		case one.Region == place.Region != isNear:
+			unlike++
+		case other > own || other == own && one.Name < self.Name:
+			turn++
 		}
 	}
+	rank := turn + min(turn, unlike)
+	if !isNear {
+		rank = turn + min(turn+1, unlike)
+	}
 	all := max(count, daemons)
 	out := whole / all
 	if rank < whole%all*count/all {
