--- a/serve/serve.go
+++ b/serve/serve.go
@@ -73,7 +73,7 @@
 // grow between two collections.
 const (
 	memoryShare = 0.8
-	gcPercent   = 25
+	gcPercent   = 50
 )
 
 // Start reads the settings. With check it only says whether they hold.
