--- a/permit/holder.go
+++ b/permit/holder.go
@@ -117,7 +117,8 @@
 func (holder *Holder) View() *View { return holder.view.Load() }
 
 // Run renews the permit until the world ends: each third of its length, and each
-// sixth while asks bring none, so that two in a row may go unheard.
+// sixth while asks bring none, so that two in a row may go unheard, or standings that
+// nobody keeps up to date, by which replicas count as cold.
 func (holder *Holder) Run() {
 	holder.waker.Run(holder.World, func() time.Duration {
 		switch {
@@ -125,7 +126,7 @@
 			// Nothing is served until the first one; but where all begin at once, and
 			// there is none yet, they would only be in each other's way.
 			return min(holder.span()/18<<min(holder.fruitless.Load(), 8)/2, holder.span()/Renewals)
-		case holder.fruitless.Load() > 0:
+		case holder.fruitless.Load() > 0 || len(holder.View().Unkept) > 0:
 			return holder.span() / 6
 		}
 		return holder.span() / Renewals
