Readers let the writer of a register end before they complete its key

In the offices' own words the time went into reading the configuration: each of six control daemons that met copies that differed completed the key by a change of its own, and with 55 ms between regions the changes outvoted one another and the writer.

--- a/register/read.go
+++ b/register/read.go
@@ -156,6 +156,13 @@
 				}
 				keeper.completing[key] = nil
 				keeper.guard.Unlock()
+				value, isClosed := keeper.closed(key)
+				if isClosed {
+					for _, one := range waiting {
+						one.Put(completed{value, nil})
+					}
+					continue
+				}
 				value, err := keeper.Change(key, func(Value) ([]byte, error) { return nil, errKeep })
 				if errors.Is(err, errKeep) {
 					err = nil
@@ -174,6 +181,22 @@
 	return answer.value, answer.err
 }
 
+// closed gives the value of a key whose copies differed once they do so no more: most
+// often somebody is just writing it. A change by each that reads it would outvote the
+// writer, and those of the others; so it comes only where nobody seems to end it.
+func (keeper *Keeper) closed(key string) (Value, bool) {
+	for range leftAlone {
+		keeper.pause(1)
+		if values, open, err := keeper.ReadSettled(key); err == nil && len(open) == 0 {
+			return values[key], true
+		}
+	}
+	return Value{}, false
+}
+
+// leftAlone is how often a key whose copies differ is read again before it is completed.
+const leftAlone = 3
+
 type completed struct {
 	value Value
 	err   error
--- a/register/read_test.go
+++ b/register/read_test.go
@@ -213,3 +213,55 @@
 		So(many, ShouldBeLessThanOrEqualTo, 2*one)
 	})
 }
+
+// TestReadersLetTheWriterEnd: while a key is written, many daemons far apart read it. They
+// wait for the writer to end; each completing the key by a change of its own would outvote
+// the others, and the writer, for seconds.
+func TestReadersLetTheWriterEnd(t *testing.T) {
+	const far, gap = 55 * time.Millisecond, 40 * time.Millisecond
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	worst, slowest, failed := time.Duration(0), time.Duration(0), 0
+	for seed := uint64(1); seed <= uint64(few(12, 3)); seed++ {
+		bench := newBench(seed)
+		bench.core(names...)
+		for from := range names {
+			for to := range names {
+				if from%3 != to%3 {
+					bench.Delay(names[from], names[to], far)
+				}
+			}
+		}
+		until := bench.Now() + 8*time.Second
+		for _, name := range names {
+			keeper, node := bench.keepers[name], bench.Node(name)
+			node.Go(func() {
+				for node.Now() < until {
+					loop.Sleep(node, gap/2+time.Duration(node.Draw(int64(gap))))
+					node.Go(func() {
+						began := node.Now()
+						if _, err := keeper.ReadMany("key"); err != nil {
+							failed++
+						}
+						worst = max(worst, node.Now()-began)
+					})
+				}
+			})
+		}
+		for turn := 0; bench.Now() < until; turn++ {
+			began := bench.Now()
+			if !bench.do(names[turn%len(names)], 5*time.Second, func(keeper *register.Keeper) {
+				if _, err := keeper.Swap("key", uint64(turn), []byte("v")); err != nil {
+					failed++
+				}
+			}) {
+				t.Fatal("a write does not end")
+			}
+			slowest = max(slowest, bench.Now()-began)
+			bench.Run(700 * time.Millisecond)
+		}
+	}
+	t.Logf("the slowest read took %v, the slowest write %v, %d failed", worst, slowest, failed)
+	if worst > 900*time.Millisecond || slowest > 700*time.Millisecond || failed > 0 {
+		t.Error("too slow")
+	}
+}
