What may be sent once only goes on a new connection where a replica isn't known to live

Cause: of 540 requests that ended with 502 in most had been sent to replicas that had just gone dark (2.0 s each, until the kernel gave the connection up) or that had dropped the kept connection (at once): every one of 64 daemons lost a request or two to each. A new connection finds out before anything is sent, and the request goes elsewhere. Within the region that takes a millisecond; to others the kept ones stay in use.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,6 +53,8 @@
 	Trial, Spill, Affine      bool
 	// Foreseen is the time to the first piece that a routed request was sent for.
 	Foreseen time.Duration
+	// Vouched is when the replica had last shown that it is alive.
+	Vouched time.Duration
 
 	routed   *Routed
 	seat     *engine
--- a/decide/route.go
+++ b/decide/route.go
@@ -568,6 +568,7 @@
 		Replica: best.row.Replica, Address: best.place.Address, Version: best.row.Version, Boot: best.place.Boot, Region: best.place.Region,
 		Serial: view.Serial, Cost: 1, Trial: best.row.Trial, Spill: best.place.Region != decider.Self.Region, call: &routed.call,
 		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat, isCold: best.place.Warm < 1,
+		Vouched: seat.vouched,
 	}
 	seat.running++
 	seat.region, seat.model, seat.vitals.asked = best.place.Region, best.row.Model, now
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -52,6 +52,8 @@
 	// muteTimes is how many times overdue a request must be at a replica that answers
 	// others.
 	muteTimes = 2
+	// vouchedSpan is for how long a replica that was alive is taken to be so.
+	vouchedSpan = 100 * time.Millisecond
 	// declinedSpan is when a request is worth another try that a replica turned away.
 	declinedSpan = 75 * time.Millisecond
 	// gapTimes is how many of the longest timely pauses a resumable stream waits for its
@@ -108,6 +110,9 @@
 		if selection.Spill {
 			ask.Connect *= 3
 		}
+		// What may not be sent again is lost where the replica has just gone; a new
+		// connection finds that out first, and costs little within the region.
+		ask.Anew = ask.Once && !selection.Spill && now-selection.Vouched > vouchedSpan
 		ask.Gate = func() *verdict.Mishap {
 			_, mishap := executor.Decider.Gate(selection)
 			return mishap
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -78,6 +78,9 @@
 		}
 		last := waiting[len(waiting)-1]
 		relayer.idle[ask.Address] = waiting[:len(waiting)-1]
+		if ask.Anew {
+			break
+		}
 		engine := park.Engines[ask.Address]
 		// One with bytes that nobody asked for, if they came already, shows it.
 		if node.Now()-last.since < lineKeep && last.life == ask.Replica && engine.Life == last.life && park.Node(ask.Address).Up() && (last.late == 0 || park.Draw(2) == 0) {
--- a/replica/relay.go
+++ b/replica/relay.go
@@ -41,6 +41,9 @@
 	Version string
 	// Once tells that it may not be sent again after a mishap.
 	Once bool
+	// Anew tells that it shall go on a new connection, as only that shows beforehand
+	// whether the replica is there.
+	Anew bool
 	// Gate is asked at the last moment before bytes go out.
 	Gate func() *verdict.Mishap
 	// Bind, if set, is told how to abort from outside; nil when nothing is under way.
@@ -221,6 +224,10 @@
 		relay.idle[ask.Address] = list[:len(list)-1]
 		isFresh := relay.isFresh(ask, last, now)
 		relay.guard.Unlock()
+		if ask.Anew {
+			last.Close() // in its place
+			break
+		}
 		if isFresh && last.boot == ask.Replica && last.alive() {
 			return last, true, nil
 		}
