--- a/register/read.go
+++ b/register/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -81,7 +82,9 @@
 type found struct {
 	values map[string]Value
 	open   map[string]bool
-	err    error
+	// written are those of open that were last accepted in the present core.
+	written map[string]bool
+	err     error
 }
 
 // ReadMany reads several keys; in the quiet case in one round without a sync.
@@ -89,10 +92,23 @@
 // reads the keys of them all. A key whose copies differ is completed first, in two rounds of
 // its own. What it gives must not be changed: others may be given the same.
 func (keeper *Keeper) ReadMany(keys ...string) (map[string]Value, error) {
-	values, open, err := keeper.ReadSettled(keys...)
+	answer, err := keeper.ask(keys)
 	if err != nil {
 		return nil, err
 	}
+	values, open := answer.of(keys)
+	// Most often somebody is just writing what differs. A change by each that reads it
+	// would outvote the writer, and those of the others; so it comes only where nobody
+	// seems to end it.
+	for try := 0; try < leftAlone && answer.isWritten(open); try++ {
+		keeper.pause(1)
+		if answer, err = keeper.ask(open); err != nil {
+			return nil, err
+		}
+		var more map[string]Value
+		more, open = answer.of(open)
+		maps.Copy(values, more)
+	}
 	for _, key := range open {
 		if values[key], err = keeper.complete(key); err != nil {
 			return nil, err
@@ -105,6 +121,16 @@
 // written: whose copies differ, so that only a change that keeps the value could tell
 // what it is. They are listed as open.
 func (keeper *Keeper) ReadSettled(keys ...string) (values map[string]Value, open []string, err error) {
+	answer, err := keeper.ask(keys)
+	if err != nil {
+		return nil, nil, err
+	}
+	values, open = answer.of(keys)
+	return values, open, nil
+}
+
+// ask has several keys read in a round with whatever else is to be read.
+func (keeper *Keeper) ask(keys []string) (found, error) {
 	one := &wish{keys: keys, expiry: keeper.World.Now() + keeper.Patience, box: keeper.World.Mailbox()}
 	keeper.guard.Lock()
 	keeper.wishes = append(keeper.wishes, one)
@@ -116,23 +142,39 @@
 	}
 	got, ok := one.box.Take(keeper.Patience + keeper.Patience/4)
 	if !ok {
-		return nil, nil, ErrNoMajority
+		return found{}, ErrNoMajority
 	}
 	answer := got.(found)
-	if answer.err != nil {
-		return nil, nil, answer.err
-	}
+	return answer, answer.err
+}
+
+// of gives the values of keys, and those whose copies differ.
+func (found found) of(keys []string) (values map[string]Value, open []string) {
 	values = make(map[string]Value, len(keys))
 	for _, key := range keys {
-		if answer.open[key] {
+		if found.open[key] {
 			open = append(open, key)
 		} else {
-			values[key] = answer.values[key]
+			values[key] = found.values[key]
 		}
 	}
-	return values, open, nil
+	return values, open
 }
 
+// isWritten tells whether somebody seems to be writing each of the keys that are open, in
+// the present core. What a former one left open nobody ends but who reads it.
+func (found found) isWritten(open []string) bool {
+	for _, key := range open {
+		if !found.written[key] {
+			return false
+		}
+	}
+	return len(open) > 0
+}
+
+// leftAlone is how often what seems to be written is read again before it is completed.
+const leftAlone = 3
+
 // complete makes the newest value of a key whose copies differ decided. Of many
 // that ask for it at a time one does it for those that came before it began.
 func (keeper *Keeper) complete(key string) (Value, error) {
@@ -156,13 +198,6 @@
 				}
 				keeper.completing[key] = nil
 				keeper.guard.Unlock()
-				value, isClosed := keeper.closed(key)
-				if isClosed {
-					for _, one := range waiting {
-						one.Put(completed{value, nil})
-					}
-					continue
-				}
 				value, err := keeper.Change(key, func(Value) ([]byte, error) { return nil, errKeep })
 				if errors.Is(err, errKeep) {
 					err = nil
@@ -181,22 +216,6 @@
 	return answer.value, answer.err
 }
 
-// closed gives the value of a key whose copies differed once they do so no more: most
-// often somebody is just writing it. A change by each that reads it would outvote the
-// writer, and those of the others; so it comes only where nobody seems to end it.
-func (keeper *Keeper) closed(key string) (Value, bool) {
-	for range leftAlone {
-		keeper.pause(1)
-		if values, open, err := keeper.ReadSettled(key); err == nil && len(open) == 0 {
-			return values[key], true
-		}
-	}
-	return Value{}, false
-}
-
-// leftAlone is how often a key whose copies differ is read again before it is completed.
-const leftAlone = 3
-
 type completed struct {
 	value Value
 	err   error
@@ -425,13 +444,16 @@
 	if heard < core.Majority() {
 		return found{err: ErrNoMajority}, astray
 	}
-	answer := found{values: map[string]Value{}, open: open()}
+	answer := found{values: map[string]Value{}, open: open(), written: map[string]bool{}}
 	keeper.guard.Lock()
 	defer keeper.guard.Unlock()
 	keeper.rounds.Reads++
 	for index, key := range keys {
 		for ballot, cell := range cells[index] {
 			keeper.kept.see(key, cell)
+			if answer.open[key] && ballot.Epoch == core.Epoch {
+				answer.written[key] = true
+			}
 			if votes[index][ballot] >= core.Majority() {
 				answer.values[key] = cell.Value
 			}
