What a replica has told nothing of is as busy as those like it, not empty

A daemon of 64 hears of each replica about every five seconds, and took one that it had not heard of for a second for empty, and all those for short prompts for as empty as the emptiest of them: so short prompts crowded onto three replicas in ten, and there onto those that just had told nothing.

--- a/decide/route.go
+++ b/decide/route.go
@@ -269,15 +269,25 @@
 	}
 	var best *prospect
 	prices := decider.prices(view, routed.Model)
-	room := fits{}
+	crowds := crowds{}
+	for at := range all {
+		one := &all[at]
+		crowds.of(one.place.Region, readers[one.place.ID]).note(one.seat, now)
+	}
 	for at := range all {
 		if one := &all[at]; !isLong && !readers[one.place.ID] {
-			room.note(one.place.Region, one.seat.filled(known, now))
+			crowd, filled := crowds.of(one.place.Region, false), 0.0
+			if prices.berths > 0 {
+				running, waiting := crowd.expect(one.seat, now)
+				filled = min(1, 2*(running+waiting)/float64(prices.berths))
+			}
+			crowd.filled, crowd.count, crowd.least = crowd.filled+filled, crowd.count+1, min(crowd.least, filled)
 		}
 	}
 	for at := range all {
 		one := &all[at]
-		decider.foresee(prices, routed, one, owner == one.place.ID, now)
+		running, waiting := crowds.of(one.place.Region, readers[one.place.ID]).expect(one.seat, now)
+		decider.foresee(prices, routed, one, running, waiting, owner == one.place.ID, now)
 		switch {
 		case one.row.Trial:
 			// All daemons load the same few replicas with what they may give a trial.
@@ -288,7 +298,7 @@
 			if isLong {
 				one.weight += strayLong
 			} else {
-				one.weight += time.Duration(float64(strayWeight) * (1 - room.least(one.place.Region)))
+				one.weight += time.Duration(float64(strayWeight) * (1 - crowds.fill(one.place.Region)))
 			}
 		}
 		if best == nil || one.weight < best.weight {
@@ -409,29 +419,23 @@
 	return prices{berths: berths, far: view.Tree.Span("far_ms", zone), again: view.Tree.Span("again_ms", zone), farKB: view.Tree.Limit("far_kb_ms", zone)}
 }
 
-// foresee fills in how long the first piece would take at the replica.
 // crowd is what so many running requests add to a first piece: little each, and more
 // the fuller the replica is.
-func (prices prices) crowd(running int) time.Duration {
+func (prices prices) crowd(running float64) time.Duration {
 	share := 0.0
 	if prices.berths > 0 {
-		share = float64(running) / float64(prices.berths)
+		share = running / float64(prices.berths)
 	}
-	return time.Duration(running)*eachRunning + time.Duration(share*share*float64(fullCrowd))
+	return time.Duration(running*float64(eachRunning)) + time.Duration(share*share*float64(fullCrowd))
 }
 
-func (decider *Decider) foresee(prices prices, routed *Routed, one *prospect, isOwner bool, now time.Duration) {
+// foresee fills in how long the first piece would take at the replica, where so many are
+// expected to run and to wait.
+func (decider *Decider) foresee(prices prices, routed *Routed, one *prospect, running, waiting float64, isOwner bool, now time.Duration) {
 	seat := one.seat
 	own, shared := seat.unread(routed.Parts, routed.Tokens, isOwner)
 	one.unread = own + shared
-	others := 0
-	if now-seat.loadAt < time.Second {
-		others = max(0, seat.load.Running-seat.running)
-	}
-	one.foreseen = decider.base + decider.reading(seat.reading) + decider.reading(one.unread) + prices.crowd(seat.running+others) + seat.lagged(now)
-	if now-seat.loadAt < time.Second {
-		one.foreseen += time.Duration(seat.load.Waiting) * eachWaiting
-	}
+	one.foreseen = decider.base + decider.reading(seat.reading) + decider.reading(one.unread) + prices.crowd(running) + time.Duration(waiting*float64(eachWaiting)) + seat.lagged(now)
 	one.weight = one.foreseen + time.Duration(float64(shared)/1000*float64(prices.again))
 	if one.place.Region != decider.Self.Region {
 		one.foreseen += prices.far
@@ -501,34 +505,6 @@
 	return decider.readersBy[model]
 }
 
-// fits are, by region, how full the emptiest replica for short prompts is.
-type fits []fit
-
-type fit struct {
-	region string
-	filled float64
-}
-
-func (fits *fits) note(region string, filled float64) {
-	for at := range *fits {
-		if one := &(*fits)[at]; one.region == region {
-			one.filled = min(one.filled, filled)
-			return
-		}
-	}
-	*fits = append(*fits, fit{region, filled})
-}
-
-// least is one where there is none.
-func (fits fits) least(region string) float64 {
-	for _, one := range fits {
-		if one.region == region {
-			return one.filled
-		}
-	}
-	return 1
-}
-
 // longShare: a prompt that takes this part of its target to read is long. strayWeight
 // is what a replica for the other length has to be better by.
 const (
