--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -18,10 +18,24 @@
 	Busy float64
 	// Reports makes engines tell their load.
 	Reports bool
+	// Berths, Queue and CacheTokens are each engine's; zero are those of the sheet.
+	Berths, Queue, CacheTokens int
+	// Checks and Notices, if set, are the callers of a region, whose number its engines do
+	// not say; Groups is how many shared parts checks have.
+	Checks, Notices, Groups int
 	// Limits are the document's, by name, beside those of every deployment.
 	Limits map[string]float64
 }
 
+// engine is a stand-in of the shape.
+func (shape RoutedShape) engine(name, zone, model string) EngineOptions {
+	one := engine(name, zone, model, shape.Reports)
+	if shape.Berths > 0 {
+		one.Berths, one.Queue, one.CacheTokens = shape.Berths, shape.Queue, shape.CacheTokens
+	}
+	return one
+}
+
 // routedLimits are those of every deployment.
 var routedLimits = map[string]float64{"permit_ms": 1800, "session_ms": 1200, "platform_ms": 1000, "dark_ms": 900, "probe_ms": 450}
 
@@ -71,7 +85,8 @@
 	for _, region := range shape.Regions {
 		regions = append(regions, fmt.Sprintf(`%q:{"platform":"http://%s","zones":{"%s-1":{}}}`, region, region, region))
 	}
-	engine := `{"probe_path":"/vitals","conn_cap":370,"cold_ms":3000,"cold_per_s":26,"berths":64,"cache_tokens":348621,"spacing":4}`
+	one := shape.engine("", "", "")
+	engine := fmt.Sprintf(`{"probe_path":"/vitals","conn_cap":370,"cold_ms":3000,"cold_per_s":26,"berths":%d,"cache_tokens":%d,"spacing":4}`, one.Berths, one.CacheTokens)
 	return fmt.Sprintf(`{"whole":{"placements":{"scribe":{"version":"any","capacity":64},"clerk":{"version":"any","capacity":64}},
   "limits":{%s}},
  "engines":{"scribe":%s,"clerk":%s},"routes":[%s],"regions":{%s}}`, strings.Join(limits, ","), engine, engine, strings.Join(words, ","), strings.Join(regions, ","))
@@ -88,14 +103,18 @@
 			plan.Datas = append(plan.Datas, fmt.Sprintf("d-%s-%d:%s", region, index+1, zone))
 		}
 		for index := range shape.Engines[at] {
-			plan.Engines = append(plan.Engines, engine(fmt.Sprintf("e-%s-%d", region, index+1), zone, mainModel, shape.Reports))
+			plan.Engines = append(plan.Engines, shape.engine(fmt.Sprintf("e-%s-%d", region, index+1), zone, mainModel))
 		}
-		plan.Engines = append(plan.Engines, engine("s-"+region, zone, spareModel, shape.Reports))
+		plan.Engines = append(plan.Engines, shape.engine("s-"+region, zone, spareModel))
 		busy := func(part float64) int { return max(1, int(part*shape.Busy*float64(shape.Engines[at]))) }
+		checks, notices, groups := busy(1), busy(0.5), 6
+		if shape.Checks > 0 {
+			checks, notices, groups = max(1, int(shape.Busy*float64(shape.Checks))), max(1, int(shape.Busy*float64(shape.Notices))), shape.Groups
+		}
 		plan.Routed = append(plan.Routed,
-			RoutedCrowd{Name: "check-" + region, Zone: zone, Host: routedHost, Path: "/check/one", Workers: busy(1), Pause: 600 * time.Millisecond, Shared: 13300, Own: 3720, Groups: 6, Most: 48,
+			RoutedCrowd{Name: "check-" + region, Zone: zone, Host: routedHost, Path: "/check/one", Workers: checks, Pause: 600 * time.Millisecond, Shared: 13300, Own: 3720, Groups: groups, Most: 48,
 				Patience: 4 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Repeatable: true, Resume: true, Tries: 2},
-			RoutedCrowd{Name: "notice-" + region, Zone: zone, Host: routedHost, Path: "/notice/one", Workers: busy(0.5), Pause: 800 * time.Millisecond, Own: 383, Most: 120,
+			RoutedCrowd{Name: "notice-" + region, Zone: zone, Host: routedHost, Path: "/notice/one", Workers: notices, Pause: 800 * time.Millisecond, Own: 383, Most: 120,
 				Patience: 4 * time.Second, Target: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2},
 			RoutedCrowd{Name: "moved-" + region, Zone: zone, Host: routedHost, Path: "/moved/one", Workers: 1, Pause: 200 * time.Millisecond, Own: 200, Most: 8,
 				Patience: 4 * time.Second, Target: 800 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2})
@@ -107,4 +126,6 @@
 var RoutedShapes = map[string]RoutedShape{
 	"large": {Regions: []string{"east", "middle", "west"}, Engines: []int{8, 6, 4}, Datas: []int{2, 2, 2}, Busy: 2, Reports: true},
 	"small": {Regions: []string{"north", "south", "sea"}, Engines: []int{4, 3, 2}, Datas: []int{3, 3, 2}, Busy: 2},
+	// Many daemons before many engines of few berths; the middle region gets no notices.
+	"grown": {Regions: []string{"north", "south", "sea"}, Engines: []int{50, 24, 36}, Datas: []int{22, 20, 22}, Busy: 1, Reports: true, Berths: 12, Queue: 36, CacheTokens: 308003, Checks: 50, Notices: 260, Groups: 351},
 }
