--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -377,7 +377,7 @@
 			row.Held[one.Model+"/"+one.Version] = standing.Ready
 		}
 		if one.engine(tree) != nil {
-			row.Alive = (row.Alive || isDoubtful && now-region.since > 2*dark) && !one.isOut(tallies[one.ID], now)
+			row.Alive = (row.Alive || isDoubtful && (one.probed || now-region.since > 2*dark)) && !one.isOut(tallies[one.ID], now)
 		}
 		out = append(out, row)
 	}
--- a/fleet/grown_test.go
+++ b/fleet/grown_test.go
@@ -231,3 +231,39 @@
 		t.Error("vacuous: nobody took the duty")
 	}
 }
+
+// TestDimRegionStays: a control daemon that has just taken a region's duty, and whose first
+// probes were answered, shows no region without replicas when the next ones go unanswered.
+func TestDimRegionStays(t *testing.T) {
+	for _, answered := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond} {
+		plan := grown(6, 18, 3)
+		for index := range plan.Replicas {
+			plan.Replicas[index].Mute = true
+		}
+		park := fleet.NewPark(4, plan)
+		park.Run(15 * time.Second)
+		var controls, replicas []string
+		for name := range park.Controls {
+			controls = append(controls, name)
+		}
+		for _, one := range park.Plan.Replicas {
+			replicas = append(replicas, one.ID)
+		}
+		before := park.Holder("east")
+		park.Crash(before)
+		if !park.Until(10*time.Second, func() bool { holder := park.Holder("east"); return holder != "" && holder != before }) {
+			t.Fatal("vacuous: nobody took the duty")
+		}
+		park.Run(answered)
+		park.Split(controls, replicas, true)
+		for range 100 {
+			park.Run(50 * time.Millisecond)
+			for name, daemon := range park.Datas {
+				if one := daemon.Holder.View().Standings["east"]; len(one.Places) == 0 {
+					t.Fatalf("answered for %v: at %v %s sees no replica in the region, by serial %d", answered, park.Now(), name, one.Serial)
+				}
+			}
+		}
+		park.Close()
+	}
+}
