--- a/decide/route.go
+++ b/decide/route.go
@@ -347,41 +347,37 @@
 }
 
 // coldPart is this daemon's part of the whole that a cold replica may be sent in a
-// second: as even as can be, and the rest by the daemons' ranks, half of it to those of the
-// replica's own region and half to the others, which may have no replica nearer. Daemons
-// counts also those that are not members but may still send: what their ranks would bring is
-// given to nobody.
+// second: as even as can be, and the rest by the daemons' ranks. Those of the replica's
+// own region and the others take turns, as some of what comes elsewhere may run in this
+// region alone. Daemons counts also those that are not members but may still send: what
+// their ranks would bring is given to nobody.
 //
 // Invariant: the parts of daemons that go by the same members sum up to no more than the
 // whole, however many they are.
 func coldPart(whole int, members []session.Member, self session.Member, place *standing.Place, daemons int) int {
 	key := nameKey(place.ID + "/" + place.Boot)
 	isNear, own := self.Region == place.Region, score(key, self.Name)
-	rank, alike, count := 0, 1, 1
+	turn, unlike, count := 0, 0, 1 // the turn among those like this one, and how many are not
 	for _, one := range members {
 		if one.Role != session.Data || one.Name == self.Name {
 			continue
 		}
 		count++
-		if (one.Region == place.Region) != isNear {
-			continue
-		}
-		alike++
-		if other := score(key, one.Name); other > own || other == own && one.Name < self.Name {
-			rank++
+		other := score(key, one.Name)
+		switch {
+		case one.Region == place.Region != isNear:
+			unlike++
+		case other > own || other == own && one.Name < self.Name:
+			turn++
 		}
 	}
-	all := max(count, daemons)
-	rest := whole % all * count / all
-	near := (rest + 1) / 2
-	quota := near
+	rank := turn + min(turn, unlike)
 	if !isNear {
-		quota = rest - near
+		rank = turn + min(turn+1, unlike)
 	}
-	// What the others are too few for is left to these.
-	quota += max(0, rest-quota-(count-alike))
+	all := max(count, daemons)
 	out := whole / all
-	if rank < quota {
+	if rank < whole%all*count/all {
 		out++
 	}
 	return out
