--- a/decide/decide.go
+++ b/decide/decide.go
@@ -127,7 +127,9 @@
 	fullUntil map[string]time.Duration
 	// past are lives of replicas that are over, as a new connection has shown, which
 	// the standing may show yet.
-	past    map[string]string
+	past map[string]string
+	// wary is until when replicas that showed no life of late are avoided.
+	wary    time.Duration
 	counts  Counts
 	tickets tickets
 	// engines are this daemon's knowledge of replicas, by id, for routed requests;
--- a/decide/route.go
+++ b/decide/route.go
@@ -459,7 +459,7 @@
 		one.weight += coldWeight
 	}
 	one.weight += seat.vitals.penalty(now, routed.Route.Repeatable())
-	if !routed.Route.Repeatable() && now-seat.vouched > vouchedLong {
+	if !routed.Route.Repeatable() && now < decider.wary && now-seat.vouched > vouchedLong && seat.vitals.bad < leastBad {
 		one.weight += unvouchedWeight
 	}
 	// Equal ones take turns.
@@ -531,10 +531,12 @@
 const coldWeight = 30 * time.Millisecond
 
 // unvouchedWeight is what a replica has to be better by that has not shown for vouchedLong
-// that it is alive, for a request that may be sent once only.
+// that it is alive, for a request that may be sent once only, within warySpan after a mishap
+// or a silence anywhere: those seldom come alone.
 const (
 	unvouchedWeight = 10 * time.Millisecond
 	vouchedLong     = time.Second
+	warySpan        = 4 * time.Second
 )
 
 // rate is the tokens that a replica reads in a millisecond, as learned.
@@ -654,6 +656,7 @@
 	if now-max(seat.silent, seat.vouched) < seat.silence(selection) {
 		return standsOut
 	}
+	decider.wary = now + warySpan
 	decider.shun(seat, now)
 	return true
 }
@@ -712,6 +715,7 @@
 	if mishap != nil {
 		switch mishap.Code {
 		case "replica_unreached", "replica_cut", "cut":
+			decider.wary = now + warySpan
 			decider.shun(selection.seat, now)
 		case "replica_declined":
 			decider.shun(selection.seat, now)
--- a/decide/vitals.go
+++ b/decide/vitals.go
@@ -149,6 +149,7 @@
 	vitals := &selection.seat.vitals
 	vitals.fade(now)
 	vitals.bad += bad
+	decider.wary = now + warySpan
 	switch {
 	case vitals.isHeld:
 		// It fails what it was tried with, and not what was under way before.
