--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,6 +53,8 @@
 	Trial, Spill, Affine      bool
 	// Foreseen is the time to the first piece that a routed request was sent for.
 	Foreseen time.Duration
+	// Vouched is when the replica had last shown that it is alive.
+	Vouched time.Duration
 
 	routed   *Routed
 	seat     *engine
@@ -125,7 +127,9 @@
 	fullUntil map[string]time.Duration
 	// past are lives of replicas that are over, as a new connection has shown, which
 	// the standing may show yet.
-	past    map[string]string
+	past map[string]string
+	// wary is until when replicas that showed no life of late are avoided.
+	wary    time.Duration
 	counts  Counts
 	tickets tickets
 	// engines are this daemon's knowledge of replicas, by id, for routed requests;
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -90,13 +90,14 @@
 //
 // Invariants: floor is the highest serial that was offered; no grant below it is taken.
 // Configurations come by fetches alone, one under way at a time: so no two copies of one
-// are on their way to a holder.
+// are on their way to a holder. No view shows a life that leavers has, below its serial.
 type Holder struct {
 	HolderOptions
-	guard sync.Mutex // over replacing the view
-	floor uint64
-	view  atomic.Pointer[View]
-	waker *loop.Waker
+	guard   sync.Mutex // over replacing the view
+	floor   uint64
+	leavers map[Leaver]left // lives that get nothing any more, as notices told
+	view    atomic.Pointer[View]
+	waker   *loop.Waker
 	// fruitless counts the last asks in a row that brought no grant.
 	fruitless atomic.Int64
 	// isFetching tells that a fetch is under way, and fetchers who waits for what it
@@ -244,6 +245,9 @@
 	for region, age := range grant.Kept {
 		next.Kept[region] = max(next.Kept[region], asked-age)
 	}
+	for region, one := range next.Standings {
+		next.Standings[region] = holder.without(one)
+	}
 	next.told = holder.World.Now()
 	next.enlist(have, grant)
 	next.Expiry = max(have.Expiry, asked+grant.Length)
