--- a/cmd/controlplane/commands.go
+++ b/cmd/controlplane/commands.go
@@ -158,7 +158,7 @@
 func commands() []subcommands.Command {
 	list := []*command{initCommand(), reload(), apply(), show(), status(), members(), core(), doctorCommand()}
 	list = append(list, evacuations()...)
-	list = append(list, handover())
+	list = append(list, handover(), tenantsCommand())
 	out := make([]subcommands.Command, len(list))
 	for index, one := range list {
 		out[index] = one
--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -62,6 +62,7 @@
 	regions map[string]*region
 	stopped atomic.Bool
 	mended  atomic.Int64
+	tenants tenants
 }
 
 // RegionDuty is the duty that covers a region: its replicas, standing and runs.
@@ -101,7 +102,7 @@
 		}
 	}
 	daemon.Table = session.NewTable(session.Options{
-		World: options.World, Net: options.Net, Seeds: options.Live.Seeds, Keeper: daemon.Keeper, Span: daemon.span, Tell: daemon.tell,
+		World: options.World, Net: options.Net, Seeds: options.Live.Seeds, Keeper: daemon.Keeper, Span: daemon.span, Tell: daemon.tell, Tenants: daemon.tenants.told.Load,
 		Self: session.Member{Name: options.Process.Name, Incarnation: options.Incarnation, Role: session.Control, Region: options.Process.Region, Zone: options.Process.Zone, Wire: options.Process.Wire, HTTP: options.Process.HTTP, Acceptor: identity},
 	})
 	daemon.Office = &permit.Office{Options: permit.Options{World: options.World, Net: options.Net, Keeper: daemon.Keeper, Table: daemon.Table, Kept: daemon.kept}}
@@ -200,7 +201,11 @@
 	}
 	own := RegionDuty + daemon.Process.Region
 	sort.SliceStable(names, func(a, b int) bool { return names[a] == own && names[b] != own })
-	return append(append([]string{CoreDuty}, names...), JanitorDuty)
+	names = append(append([]string{CoreDuty}, names...), JanitorDuty)
+	if tree.Limit("tenant_ms", "") > 0 {
+		names = append(names, TenantDuty)
+	}
+	return names
 }
 
 // diskless answers for a daemon that is no acceptor.
@@ -228,6 +233,7 @@
 	register("Session", tableService{daemon.Table})
 	register("Permit", officeService{daemon.Office})
 	register("Local", localService{daemon})
+	register("Tenant", tenantService{daemon})
 	register("Process", settings.Service{Live: daemon.Live})
 	return server
 }
@@ -261,6 +267,8 @@
 	world.Go(daemon.Duties.Run)
 	world.Go(daemon.watchConfig)
 	world.Go(daemon.janitor)
+	world.Go(daemon.tellTenants)
+	world.Go(daemon.watchTenants)
 	world.Go(daemon.tend)
 	if daemon.Acceptor != nil {
 		world.Go(daemon.repair)
--- a/controlplane/http.go
+++ b/controlplane/http.go
@@ -148,6 +148,23 @@
 		state, err := daemon.RolloutState(string([]byte(ctx.Params("model"))))
 		return reply(ctx, state, err)
 	})
+	app.Get("/v1/tenants", func(ctx *fiber.Ctx) error {
+		tenants, err := daemon.Tenants()
+		return reply(ctx, tenants, err)
+	})
+	for path, isPin := range map[string]bool{"pin": true, "release": false} {
+		app.Post("/v1/tenants/"+path, func(ctx *fiber.Ctx) error {
+			var ask struct {
+				Tenant  string
+				Regions []string
+			}
+			if err := json.Unmarshal(ctx.Body(), &ask); err != nil || ask.Tenant == "" || isPin != (len(ask.Regions) > 0) {
+				return fail(ctx, verdict.Decline(400, "bad_request", "a pin needs a tenant and regions, a release a tenant", 0))
+			}
+			placement, err := daemon.Pin(ask.Tenant, ask.Regions)
+			return reply(ctx, placement, err)
+		})
+	}
 	app.Post("/v1/handovers/:model/rollback", func(ctx *fiber.Ctx) error {
 		model, err := daemon.Objects.Rollback(string([]byte(ctx.Params("model"))), words(string([]byte(ctx.Query("regions")))), daemon.standby())
 		return reply(ctx, model, err)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,6 +18,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 	"swifttiller/verdict"
 	"swifttiller/wire"
 )
@@ -137,6 +138,8 @@
 	// readersBy are the replicas for long prompts, by model, as of the view readersOf.
 	readersOf *permit.View
 	readersBy map[string]map[string]bool
+	// tenants counts what is to be told of heavy tenants.
+	tenants tenant.Counter
 }
 
 // Counts are what operators watch.
@@ -762,6 +765,9 @@
 	for region, one := range view.Standings {
 		report.Standing[region] = one.Serial
 	}
+	if view.Tree != nil {
+		report.Tenants = decider.tenants.Turn(now, view.Tree.Span("tenant_ms", ""))
+	}
 	for version := range decider.judging.failed {
 		report.Failed = append(report.Failed, version)
 	}
--- a/decide/route.go
+++ b/decide/route.go
@@ -32,7 +32,9 @@
 	Route *settings.Route
 	Model string
 	call  Call
-	owner uint64
+	// owner is what requests with the same shared parts have in common, key what their
+	// owner is found by.
+	owner, key uint64
 }
 
 // Direct finds the route of a request and the model that gets it, or declines. The
@@ -62,6 +64,7 @@
 	}
 	routed.call = Call{ID: routed.ID, Model: routed.Model, Kind: route.Name, Path: routed.Path, Bytes: routed.Bytes}
 	routed.owner = ownerKey(routed)
+	decider.note(view, routed)
 	decider.counts.Demanded++
 	decider.repeatsOf(routed.Model).count(now).fresh++
 	decider.flow(decider.demand, routed.Model).add(now, 1)
@@ -217,8 +220,16 @@
 	}
 	route := routed.Route
 	known := view.Tree.Engine(routed.Model)
+	routed.key = routed.owner
 	owner, most := "", uint64(0) // of the shared parts, among all that may be asked
-	isLong := decider.reading(routed.Tokens) >= routed.Route.Target/longShare
+	isLong := decider.isLong(routed)
+	home, placedAt, placedMost := "", "", uint64(0) // of a tenant that has a placement
+	placement := decider.placement(view, routed, now)
+	if placement != nil {
+		isLong = isLong || placement.Reads
+		routed.key = placement.Owner(routed.owner, routed.Parts[len(routed.Parts)-1].ID)
+		home = placement.Home(routed.owner, decider.Self.Region, route.Within)
+	}
 	readers := decider.readers(view, routed.Model)
 	var shunned []prospect
 	for _, region := range view.Tree.Regions() {
@@ -246,10 +257,15 @@
 			seat := decider.engine(place.ID)
 			// A short prompt is not worth a far way: each region has an owner of its own.
 			if routed.owner != 0 && readers[place.ID] == isLong && (isLong || region == decider.Self.Region || !route.Within(decider.Self.Region)) {
-				if score := slotScore(routed.owner, place); owner == "" || score > most {
+				if score := slotScore(routed.key, place); owner == "" || score > most {
 					owner, most = place.ID, score
 				}
 			}
+			if home == region && readers[place.ID] == isLong {
+				if score := slotScore(routed.key, place); placedAt == "" || score > placedMost {
+					placedAt, placedMost = place.ID, score
+				}
+			}
 			if wait := decider.paced(view, known, place, seat, now); wait > 0 {
 				soon(wait)
 				continue
@@ -267,6 +283,9 @@
 		// Better one in doubt than none at all.
 		all = shunned
 	}
+	if placedAt != "" {
+		owner = placedAt
+	}
 	var best *prospect
 	prices := decider.prices(view, routed.Model)
 	room := fits{}
@@ -708,6 +727,7 @@
 		isEmpty = selection.seat.isEmpty(view.Tree.Engine(selection.call.Model), now)
 	}
 	selection.seat.running--
+	decider.noteEnd(selection, now)
 	if selection.isFlowing {
 		selection.seat.flowing--
 	}
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -12,6 +12,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 )
 
 // Offer tells a holder of a decided configuration.
@@ -51,6 +52,19 @@
 	told    time.Duration
 	listed  time.Duration
 	texts   map[string]text // of the standings that came last, by region
+	// Placed are the tenants' placements as of their serial; nil before any came.
+	Placed *tenant.Book
+	placed uint64
+}
+
+// Placement is a tenant's; nil where there is none, and once the permit has ended: what
+// then may hold nobody knows, so two placements are in force for a permit's length at the
+// longest.
+func (view *View) Placement(name string, now time.Duration) *tenant.Placement {
+	if view.Placed == nil || !view.Stands(now) {
+		return nil
+	}
+	return view.Placed.Find(name)
 }
 
 // Stands tells whether the permit lets the daemon serve at the time.
@@ -134,7 +148,7 @@
 func (holder *Holder) Renew() bool {
 	asked := holder.World.Now()
 	have := holder.View()
-	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}}
+	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.placed}
 	if asked-have.listed < relisted {
 		ask.Members = have.sum
 	}
@@ -213,6 +227,9 @@
 	for region, age := range grant.Kept {
 		next.Kept[region] = max(next.Kept[region], asked-age)
 	}
+	if book, isRead := OpenPlaced(grant.Placed); isRead && grant.PlacedSerial > have.placed {
+		next.Placed, next.placed = &book, grant.PlacedSerial
+	}
 	next.told = holder.World.Now()
 	next.enlist(have, grant)
 	next.Expiry = max(have.Expiry, asked+grant.Length)
--- a/permit/office.go
+++ b/permit/office.go
@@ -28,6 +28,8 @@
 	ConfigKey      = "config"
 	HolderPrefix   = "holder/"
 	StandingPrefix = "standing/"
+	// PlacedKey holds the placements of tenants (tenant.Book).
+	PlacedKey = "tenants/placed"
 )
 
 // Config is what the configuration's register holds. Its serial is the
@@ -88,6 +90,8 @@
 	Standings map[string]uint64
 	// Members is the sum of the members that it has.
 	Members uint64
+	// Placed is the serial of the tenants' placements that it has.
+	Placed uint64
 }
 
 // Grant is the permit. Its length counts from before the ask was sent.
@@ -108,6 +112,9 @@
 	Gone      []string
 	Base, Sum uint64
 	Length    time.Duration
+	// Placed are the tenants' placements, packed, when newer than the asker's.
+	Placed       []byte
+	PlacedSerial uint64
 	// Declined says why there is none.
 	Declined string
 }
@@ -255,6 +262,9 @@
 			for _, region := range tree.Regions() {
 				keys = append(keys, StandingPrefix+region)
 			}
+			if tree.Limit("tenant_ms", "") > 0 {
+				keys = append(keys, PlacedKey)
+			}
 		}
 		values, open, err := office.Keeper.ReadSettled(keys...)
 		value := values[ConfigKey]
@@ -315,6 +325,9 @@
 				grant.Unkept = append(grant.Unkept, told)
 			}
 		}
+		if placed := values[PlacedKey]; placed.Serial > ask.Placed {
+			grant.Placed, grant.PlacedSerial = placed.Data, placed.Serial
+		}
 		var members []session.Member
 		for _, one := range office.Table.Live("") {
 			one.Member.Duties, one.Member.Keeps = nil, nil
--- a/permit/told.go
+++ b/permit/told.go
@@ -6,6 +6,7 @@
 	"swifttiller/register"
 	"swifttiller/session"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 )
 
 // Told is a region's standing on its way to a data daemon: its text packed against the
@@ -38,6 +39,21 @@
 	return one, text, nil
 }
 
+// PackPlaced gives tenants' placements as their register holds them, and as they travel.
+func PackPlaced(book tenant.Book) ([]byte, error) {
+	text, err := json.Marshal(book)
+	if err != nil {
+		return nil, err
+	}
+	return pack(text, nil), nil
+}
+
+// OpenPlaced reads tenants' placements; false where there are none.
+func OpenPlaced(data []byte) (book tenant.Book, isRead bool) {
+	text, err := unpack(data, nil)
+	return book, len(data) > 0 && err == nil && json.Unmarshal(text, &book) == nil
+}
+
 // stacked is how many texts of a region's standings an office keeps.
 const stacked = 8
 
--- a/session/session.go
+++ b/session/session.go
@@ -11,6 +11,7 @@
 	"swifttiller/loop"
 	"swifttiller/register"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 	"swifttiller/wire"
 )
 
@@ -101,6 +102,8 @@
 	Keeper *register.Keeper
 	// Tell, if set, adds to this daemon's word what it holds and keeps now.
 	Tell func(self *Member)
+	// Tenants, if set, gives what this daemon tells of tenants.
+	Tenants func() *tenant.Told
 }
 
 // Table is a control daemon's view of all sessions.
@@ -158,6 +161,30 @@
 	return self
 }
 
+// word is this daemon's own session.
+func (table *Table) word() Session {
+	out := Session{Member: table.self()}
+	if table.Tenants != nil {
+		out.Report.Tenants = table.Tenants()
+	}
+	return out
+}
+
+// FirstHand lists the data daemons' sessions that stand and were heard first hand of
+// late: each of them has one control daemon that lists it, but for moments.
+func (table *Table) FirstHand() (out []Session) {
+	now := table.World.Now()
+	table.guard.Lock()
+	defer table.guard.Unlock()
+	for _, one := range table.rows {
+		if one.Member.Role == Data && one.slot > 0 && now-one.firstHand < table.Span() && now-one.heard < table.Span() {
+			out = append(out, one.Session)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Member.Name < out[b].Member.Name })
+	return out
+}
+
 // Live lists the sessions that stand, this daemon's own included; an empty role
 // means all.
 func (table *Table) Live(role string) []Session {
@@ -166,7 +193,7 @@
 	defer table.guard.Unlock()
 	var out []Session
 	if role == "" || role == table.Self.Role {
-		out = append(out, Session{Member: table.self()})
+		out = append(out, table.word())
 	}
 	for _, one := range table.rows {
 		if (role == "" || one.Member.Role == role) && now-one.heard < table.Span() {
@@ -185,7 +212,7 @@
 	table.guard.Lock()
 	defer table.guard.Unlock()
 	if name == table.Self.Name {
-		return Session{Member: table.self()}, true
+		return table.word(), true
 	}
 	one, known := table.rows[name]
 	one.Age = now - one.heard
--- a/session/share.go
+++ b/session/share.go
@@ -98,6 +98,9 @@
 	session.Age, session.Member.Uptime, session.Report.Permit = 0, 0, 0
 	keeps := session.Member.Keeps
 	session.Member.Keeps = nil
+	if session.Member.Role == Data {
+		session.Report.Tenants = nil // its control daemon tells the sum
+	}
 	if len(keeps) > 0 {
 		session.Member.Keeps = map[string]Keeping{}
 		for region, one := range keeps {
@@ -134,6 +137,9 @@
 func (table *Table) hear(one row, isFirstHand bool) {
 	if have := table.rows[one.Member.Name]; have.Member.Incarnation == one.Member.Incarnation {
 		one.slot, one.told, one.firstHand = have.slot, have.told, have.firstHand
+		if one.Report.Tenants == nil {
+			one.Report.Tenants = have.Report.Tenants // told once a window
+		}
 	}
 	if isFirstHand {
 		one.firstHand = max(one.firstHand, one.heard)
@@ -266,6 +272,9 @@
 		if !isNear {
 			session.Report.Near = nil
 		}
+		if session.Member.Role == Data {
+			session.Report.Tenants = nil
+		}
 		out.Sessions = append(out.Sessions, Content{slot, mark.Serial, session})
 	}
 	for _, one := range table.rows {
@@ -273,7 +282,7 @@
 			tell(one.slot, one.told, one.Session, now-one.heard)
 		}
 	}
-	self := Session{Member: table.self()}
+	self := table.word()
 	table.own = table.next(table.own, self, now)
 	tell(0, table.own, self, 0)
 	sort.Slice(out.Marks, func(a, b int) bool { return out.Marks[a].Slot < out.Marks[b].Slot })
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -53,6 +53,18 @@
 	return route.Kind == Safe || route.Kind == Streamed && route.Resume
 }
 
+// Tenant names whom the route belongs to: its host and prefix.
+func (route *Route) Tenant() string { return route.Host + route.Prefix }
+
+// Tenant is the route of a tenant's name; nil when there is none.
+func (tree *Tree) Tenant(name string) *Route {
+	host, path, _ := strings.Cut(name, "/")
+	if route := tree.Route(host, "/"+path); route != nil && route.Tenant() == name {
+		return route
+	}
+	return nil
+}
+
 // Within tells whether the route may be served in the region.
 func (route *Route) Within(region string) bool {
 	if len(route.Homes) == 0 {
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -52,6 +52,9 @@
 	"cold_excess":        {1, 0.1, 2, "how much of its cold rate a cold replica is sent by all together, as a ratio"},
 	"reader_share":       {0.7, 0, 1, "which part of a model's replicas long prompts go to"},
 	"again_ms":           {60, 0, 10000, "what a thousand shared tokens read again elsewhere are weighed as, in ms of waiting"},
+	"tenant_ms":          {0, 0, 600000, "how often it is looked whether tenants' sessions have changed and need new placement; 0: never"},
+	"tenant_change":      {0.25, 0.05, 1, "how far a tenant's sessions must have moved to be judged anew, as a share"},
+	"tenant_again":       {0.1, 0.001, 1, "which part of all prompt tokens may be read again for tenants that are placed anew"},
 	"affinity_slack":     {1.5, 0, 100, "how far above the average load a prompt's own replica may go; 0: prompts have no own replica"},
 }
 
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"swifttiller/settings"
+	"swifttiller/tenant"
 )
 
 // Outcome counts what became of requests of one kind at one replica and version.
@@ -77,6 +78,9 @@
 	Demanded, Retries, Allowed uint64
 	Declined                   map[string]uint64
 	Queue                      int
+	// Tenants are the heavy tenants of the last window, in the first report after it; of
+	// a control daemon, those of all data daemons that it hears first hand.
+	Tenants *tenant.Told
 }
 
 // Held names a version on a replica.
--- /dev/null
+++ b/tenant/plan.go
@@ -0,0 +1,234 @@
+package tenant
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+// load is what placed tenants take up of a region's replicas of a model.
+type load struct{ berths, tokens, reading float64 }
+
+// used sums up what the other placed tenants take up, by region.
+func (watch *Watch) used(scene Scene, book Book, but string) map[string]load {
+	out := map[string]load{}
+	var model string
+	if one := watch.rows[but]; one != nil {
+		model = one.short.Model
+	}
+	for _, placement := range book.Placed {
+		one := watch.rows[placement.Tenant]
+		if placement.Tenant == but || one == nil || one.short.Model != model {
+			continue
+		}
+		regions := placement.Now
+		if placement.Moving && !placement.Back {
+			regions = placement.Next
+		}
+		for region, more := range loads(one.short, regions) {
+			sum := out[region]
+			out[region] = load{sum.berths + more.berths, sum.tokens + more.tokens, sum.reading + more.reading}
+		}
+	}
+	return out
+}
+
+// loads is what a tenant takes up in the regions that it would be placed in.
+func loads(profile *Profile, regions []string) map[string]load {
+	out := map[string]load{}
+	elsewhere := 1.0
+	for _, region := range regions {
+		elsewhere -= profile.Share(region)
+	}
+	rate := profile.Rate()
+	for at, region := range regions {
+		share := profile.Share(region)
+		if at == 0 {
+			share += elsewhere
+		}
+		out[region] = load{
+			berths:  share * rate * each(profile.Held, profile.Ended) / 1000,
+			tokens:  profile.pool(),
+			reading: share * max(0, profile.Prompt-profile.Shared),
+		}
+	}
+	return out
+}
+
+// plan is one tenant's judgement in a turn.
+type plan struct {
+	scene     Scene
+	profile   *Profile
+	placement Placement
+	used      map[string]load
+	stay      time.Duration
+}
+
+func (plan plan) grounds() map[string]Ground { return plan.scene.Grounds[plan.profile.Model] }
+
+// holds is which part of the tenant's shared parts has an owner in the region.
+func (plan plan) holds(regions []string, region string) float64 {
+	if len(regions) > 0 {
+		if slices.Contains(regions, region) {
+			return 1
+		}
+		return 0
+	}
+	all := 0
+	for _, one := range plan.scene.Homes(plan.placement.Tenant) {
+		all += plan.grounds()[one].Readers
+	}
+	return each(float64(plan.grounds()[region].Readers), float64(all))
+}
+
+// far is which part of the long requests goes to another region.
+func (plan plan) far(regions []string) (far float64) {
+	for _, region := range plan.scene.Homes(plan.placement.Tenant) {
+		far += plan.profile.Share(region) * (1 - plan.holds(regions, region))
+	}
+	return far
+}
+
+// way is what each long request pays for the way to another region, in ms, as daemons
+// weigh it.
+func (plan plan) way() float64 {
+	return 2*plan.scene.Far + plan.scene.FarKB*each(plan.profile.KB, plan.profile.Rate())
+}
+
+// gain is what is foreseen to be gained, in ms of waiting, while the placement stays.
+func (plan plan) gain(from, to []string) float64 {
+	return plan.profile.Long * (plan.far(from) - plan.far(to)) * plan.way() * plan.stay.Seconds()
+}
+
+// tokens are those that are read again when the owners go from one set of regions to the
+// other.
+func (plan plan) tokens(from, to []string) (tokens float64) {
+	for _, region := range plan.scene.Homes(plan.placement.Tenant) {
+		tokens += plan.profile.pool() * max(0, plan.holds(to, region)-plan.holds(from, region))
+	}
+	return tokens
+}
+
+// price is what so many tokens read again are worth, in ms of waiting.
+func (plan plan) price(tokens float64) float64 {
+	return tokens * (plan.scene.Again + 1e6/readRate) / 1000
+}
+
+// fits tells whether the regions' replicas bear the tenant beside the others.
+func (plan plan) fits(regions []string) bool {
+	for region, more := range loads(plan.profile, regions) {
+		ground, used := plan.grounds()[region], plan.used[region]
+		switch {
+		case ground.Readers == 0,
+			used.berths+more.berths > half*float64(ground.Readers*ground.Berths),
+			ground.Cache > 0 && used.tokens+more.tokens > half*float64(ground.Readers*ground.Cache),
+			used.reading+more.reading > half*float64(ground.Readers)*readRate:
+			return false
+		}
+	}
+	return true
+}
+
+// candidates are the sets of regions to weigh: those with the most callers, and none.
+func (plan plan) candidates() (out [][]string) {
+	var regions []string
+	for _, region := range plan.scene.Homes(plan.placement.Tenant) {
+		if plan.profile.Share(region) >= regionShare && plan.grounds()[region].Readers > 0 {
+			regions = append(regions, region)
+		}
+	}
+	sort.SliceStable(regions, func(a, b int) bool { return plan.profile.Share(regions[a]) > plan.profile.Share(regions[b]) })
+	for count := 1; count <= len(regions); count++ {
+		out = append(out, slices.Clone(regions[:count]))
+	}
+	if len(plan.placement.Now) > 0 {
+		out = append(out, nil)
+	}
+	return out
+}
+
+// best gives the best next placement, and what is gained by it; the notice says
+// nothing where the present one is best.
+func (plan plan) best() (Placement, Notice) {
+	have := plan.placement
+	notice := Notice{Tenant: have.Tenant, From: have.Now, To: have.Now}
+	regions, most := []string(nil), 0.0
+	for _, to := range plan.candidates() {
+		tokens := plan.tokens(have.Now, to)
+		gain, price := plan.gain(have.Now, to), plan.price(tokens)
+		net := gain - margin*price
+		if net <= most || plan.far(have.Now)-plan.far(to) < worthwhile || !plan.fits(to) {
+			continue
+		}
+		regions, most = to, net
+		notice.What, notice.Gain, notice.Price, notice.Tokens, notice.To = "begins to move", gain, price, tokens, to
+		notice.Reason = fmt.Sprintf("%.0f%% of its long prompts go far, then %.0f%%; %s", 100*plan.far(have.Now), 100*plan.far(to), plan.profile)
+	}
+	if notice.What != "" {
+		have.Next, have.Moving, have.Part, have.Reason = regions, true, 0, notice.Reason
+		return have, notice
+	}
+	if next, spread, isBetter := plan.spread(); isBetter {
+		return next, spread
+	}
+	share := each(plan.profile.Long, plan.profile.Keyed)
+	if isMixed := share >= readsFrom && share <= readsAll; isMixed && !have.Reads || have.Reads && share < readsUntil {
+		have.Reads = !have.Reads
+		have.Reason = fmt.Sprintf("%.0f%% of its prompts are long", 100*share)
+		return have, Notice{Tenant: have.Tenant, What: map[bool]string{true: "goes to readers", false: "goes to readers no more"}[have.Reads], Reason: have.Reason, From: have.Now, To: have.Now}
+	}
+	return plan.placement, notice
+}
+
+// spread gives hot beginnings as many owners as their load needs.
+func (plan plan) spread() (Placement, Notice, bool) {
+	have, profile := plan.placement, plan.profile
+	berths, readers := 0, 0
+	for _, region := range plan.scene.Homes(have.Tenant) {
+		berths = max(berths, plan.grounds()[region].Berths)
+		readers += plan.grounds()[region].Readers
+	}
+	if berths == 0 || readers == 0 {
+		return have, Notice{}, false
+	}
+	own := each(max(0, profile.Prompt-profile.Shared), profile.Rate())
+	shared := each(profile.Shared, profile.Keyed)
+	next := have
+	next.Hot = nil
+	gain, tokens, most := 0.0, 0.0, 0.0
+	keys := make([]uint64, 0, len(profile.Hot))
+	for key := range profile.Hot {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		rate := profile.Hot[key]
+		full := max(rate*each(profile.Held, profile.Ended)/1000/float64(berths), rate*own/readRate)
+		over, before := max(1, min(mostOwners, readers, int(math.Ceil(full/half)))), 1
+		for _, one := range have.Hot {
+			if one.Key == key {
+				before = one.Over
+			}
+		}
+		// It shrinks only where it would still be well below at one owner less.
+		if over < before && full > half*half*float64(before-1)*2 {
+			over = before
+		}
+		if over > 1 {
+			next.Hot = append(next.Hot, Spread{Key: key, Over: over})
+		}
+		if over > before {
+			crowded := func(owners int) float64 { part := full / float64(owners); return crowd * part * part }
+			gain += rate * (crowded(before) - crowded(over)) * plan.stay.Seconds()
+			tokens += shared * float64(over-before)
+		}
+		most = max(most, full)
+	}
+	if slices.Equal(next.Hot, have.Hot) || tokens > 0 && gain <= margin*plan.price(tokens) {
+		return have, Notice{}, false
+	}
+	next.Reason = fmt.Sprintf("its hottest beginning takes up %.1f of a replica", most)
+	return next, Notice{Tenant: have.Tenant, What: "is spread", Reason: next.Reason, Gain: gain, Price: plan.price(tokens), Tokens: tokens, From: have.Now, To: have.Now}, true
+}
