--- a/permit/holder.go
+++ b/permit/holder.go
@@ -53,8 +53,8 @@
 	listed  time.Duration
 	texts   map[string]text // of the standings that came last, by region
 	// Placed are the tenants' placements as of their serial; nil before any came.
-	Placed *tenant.Book
-	placed uint64
+	Placed       *tenant.Book
+	PlacedSerial uint64
 }
 
 // Placement is a tenant's; nil where there is none, and once the permit has ended: what
@@ -148,7 +148,7 @@
 func (holder *Holder) Renew() bool {
 	asked := holder.World.Now()
 	have := holder.View()
-	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.placed}
+	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.PlacedSerial}
 	if asked-have.listed < relisted {
 		ask.Members = have.sum
 	}
@@ -227,8 +227,8 @@
 	for region, age := range grant.Kept {
 		next.Kept[region] = max(next.Kept[region], asked-age)
 	}
-	if book, isRead := OpenPlaced(grant.Placed); isRead && grant.PlacedSerial > have.placed {
-		next.Placed, next.placed = &book, grant.PlacedSerial
+	if book, isRead := OpenPlaced(grant.Placed); isRead && grant.PlacedSerial > have.PlacedSerial {
+		next.Placed, next.PlacedSerial = &book, grant.PlacedSerial
 	}
 	next.told = holder.World.Now()
 	next.enlist(have, grant)
--- a/tenant/plan.go
+++ b/tenant/plan.go
@@ -195,6 +195,13 @@
 	}
 	own := each(max(0, profile.Prompt-profile.Shared), profile.Rate())
 	shared := each(profile.Shared, profile.Keyed)
+	busiest := 1.0 // which part of a beginning's requests one region's owner gets
+	if len(have.Now) > 0 {
+		busiest = 0
+		for _, one := range loads(profile, have.Now) {
+			busiest = max(busiest, each(one.reading, max(0, profile.Prompt-profile.Shared)))
+		}
+	}
 	next := have
 	next.Hot = nil
 	gain, tokens, most := 0.0, 0.0, 0.0
@@ -204,7 +211,7 @@
 	}
 	slices.Sort(keys)
 	for _, key := range keys {
-		rate := profile.Hot[key]
+		rate := busiest * profile.Hot[key]
 		full := max(rate*each(profile.Held, profile.Ended)/1000/float64(berths), rate*own/readRate)
 		over, before := max(1, min(mostOwners, readers, int(math.Ceil(full/half)))), 1
 		for _, one := range have.Hot {
--- a/tenant/watch.go
+++ b/tenant/watch.go
@@ -26,15 +26,16 @@
 	// stays is how long a placement stays at the least; each move that follows another
 	// within stayTimes of that doubles it, up to stayMost times.
 	stays, stayTimes, stayMost = 10, 4, 16
-	// open is for how long a noticed change may lead to a move.
-	open = 4
+	// calm is how long a noticed change is left to show itself whole before a placement is
+	// judged by it, and open for how long it then may lead to a move.
+	calm, open = 2, 4
 	// margin is by what times the gain that is foreseen must exceed the price.
 	margin = 2
 	// worthwhile is the least part of a tenant's long prompts that a move keeps near.
 	worthwhile = 0.15
 	// regionShare is the least part of a tenant's callers for which a region gets owners
 	// of its own.
-	regionShare = 0.2
+	regionShare = 0.25
 	// half of what a region's replicas bear, keep and read is the most that is placed.
 	half = 0.5
 	// readRate is the tokens that a replica reads in a second, as is taken beforehand.
@@ -92,10 +93,10 @@
 	// basis is what the tenant was like when its placement was last judged.
 	basis *Profile
 	turns int
-	// strange is in how many windows in a row it seemed changed; until is the turn up to
-	// which a noticed change may lead to a move, zero for none.
-	strange int
-	until   int
+	// strange is in how many windows in a row it seemed changed; from and until are the
+	// turns between which a noticed change may lead to a move, until is zero for none.
+	strange     int
+	from, until int
 	// moved is when its placement last changed, stay for how long that stays.
 	moved, stay time.Duration
 }
@@ -205,7 +206,7 @@
 		switch {
 		case have.Moving:
 			have, notices = watch.step(plan, one, notices)
-		case one.until == 0 || one.moved > 0 && scene.Now-one.moved < one.stay:
+		case one.until == 0 || watch.turn < one.from || one.moved > 0 && scene.Now-one.moved < one.stay:
 			continue
 		default:
 			have, notices = watch.begin(plan, one, notices)
@@ -275,7 +276,8 @@
 		return notice, false
 	}
 	notice = Notice{Tenant: row.short.Tenant, What: "has changed", Distance: short, Reason: fmt.Sprintf("%s; %s, was %s", by, row.short, row.basis)}
-	row.strange, row.basis, row.until = 0, row.short.clone(), turn+open
+	row.strange, row.basis, row.until = 0, row.short.clone(), turn+calm+open
+	row.from = turn + calm
 	return notice, true
 }
 
@@ -304,14 +306,21 @@
 	} else {
 		one.stay = stays * plan.scene.Window
 	}
-	one.moved, one.until = plan.scene.Now, 0
+	watch.touched(one, plan.scene)
 	return next, append(notices, notice)
 }
 
+// touched notes that a placement has changed: it stays now, and is judged once more when
+// that is over.
+func (watch *Watch) touched(one *row, scene Scene) {
+	one.moved = scene.Now
+	one.until = watch.turn + int(one.stay/scene.Window) + open
+}
+
 // step takes a move on by as many parts as the bucket allows, or back.
 func (watch *Watch) step(plan plan, one *row, notices []Notice) (Placement, []Notice) {
 	have := plan.placement
-	one.moved = plan.scene.Now
+	watch.touched(one, plan.scene)
 	if !have.Back && one.turns > confirmed {
 		// Is it still worth it? What was moved so far is paid.
 		if gain := plan.gain(have.Now, have.Next); gain <= 0 {
