--- a/tenant/plan.go
+++ b/tenant/plan.go
@@ -97,9 +97,42 @@
 	return 2*plan.scene.Far + plan.scene.FarKB*each(plan.profile.KB, plan.profile.Rate())
 }
 
-// gain is what is foreseen to be gained, in ms of waiting, while the placement stays.
+// gain is what is foreseen to be gained, in ms of waiting, while the placement stays: ways
+// that are saved, and what owners are less busy with.
 func (plan plan) gain(from, to []string) float64 {
-	return plan.profile.Long * (plan.far(from) - plan.far(to)) * plan.way() * plan.stay.Seconds()
+	each := (plan.far(from)-plan.far(to))*plan.way() + plan.wait(from) - plan.wait(to)
+	return plan.profile.Long * each * plan.stay.Seconds()
+}
+
+// busiest is which part of its time the busiest of so many owners reads, beside what
+// others have it read: few beginnings fall on owners unevenly.
+func (plan plan) busiest(reading, others float64, owners int) float64 {
+	if owners == 0 {
+		return mostBusy
+	}
+	count := float64(owners)
+	share := min(1, (1+math.Sqrt(2*math.Log(count)*count/max(1, plan.profile.Beginnings)))/count)
+	return min(mostBusy, (reading*share+others/count)/readRate)
+}
+
+// wait is for how many ms a prompt waits on average until others are read, at the busiest
+// owners: half a prompt's reading times what is before it.
+func (plan plan) wait(regions []string) (wait float64) {
+	own := each(max(0, plan.profile.Prompt-plan.profile.Shared), plan.profile.Rate()) / readRate * 1000
+	queue := func(busy float64) float64 { return own * busy / (2 * (1 - busy)) }
+	if len(regions) == 0 {
+		owners, others := 0, 0.0
+		for _, region := range plan.scene.Homes(plan.placement.Tenant) {
+			owners += plan.grounds()[region].Readers
+			others += plan.used[region].reading
+		}
+		return queue(plan.busiest(max(0, plan.profile.Prompt-plan.profile.Shared), others, owners))
+	}
+	all := max(1, plan.profile.Prompt-plan.profile.Shared)
+	for region, one := range loads(plan.profile, regions) {
+		wait += one.reading / all * queue(plan.busiest(one.reading, plan.used[region].reading, plan.grounds()[region].Readers))
+	}
+	return wait
 }
 
 // tokens are those that are read again when the owners go from one set of regions to the
@@ -124,7 +157,7 @@
 		case ground.Readers == 0,
 			used.berths+more.berths > half*float64(ground.Readers*ground.Berths),
 			ground.Cache > 0 && used.tokens+more.tokens > half*float64(ground.Readers*ground.Cache),
-			used.reading+more.reading > half*float64(ground.Readers)*readRate:
+			plan.busiest(more.reading, used.reading, ground.Readers) > half:
 			return false
 		}
 	}
--- a/tenant/watch.go
+++ b/tenant/watch.go
@@ -38,8 +38,9 @@
 	regionShare = 0.25
 	// half of what a region's replicas bear, keep and read is the most that is placed.
 	half = 0.5
-	// readRate is the tokens that a replica reads in a second, as is taken beforehand.
-	readRate = 50000.0
+	// readRate is the tokens that a replica reads in a second between the tokens of others,
+	// as is taken beforehand; mostBusy is as busy as an owner is taken to be at the most.
+	readRate, mostBusy = 35000.0, 0.95
 	// crowd is what a full replica adds to a first piece, in ms.
 	crowd = 64.0
 	// readsFrom and readsUntil are the shares of long prompts at which a tenant of mixed
@@ -90,9 +91,11 @@
 // row is one tenant in the watch's table.
 type row struct {
 	short, long *Profile
-	// basis is what the tenant was like when its placement was last judged.
-	basis *Profile
-	turns int
+	// basis is what the tenant was like when it was last found changed, or known; judged
+	// is the one before, while the change has led to nothing yet: the next holder has to
+	// notice it too.
+	basis, judged *Profile
+	turns         int
 	// strange is in how many windows in a row it seemed changed; from and until are the
 	// turns between which a noticed change may lead to a move, until is zero for none.
 	strange     int
@@ -128,7 +131,10 @@
 // Usual is what a next holder has to know: what the tenants were judged by.
 func (watch *Watch) Usual() (out []Profile) {
 	for _, name := range watch.names() {
-		if one := watch.rows[name]; one.basis != nil {
+		switch one := watch.rows[name]; {
+		case one.until > 0 && one.judged != nil:
+			out = append(out, *one.judged)
+		case one.basis != nil:
 			out = append(out, *one.basis)
 		}
 	}
@@ -257,7 +263,7 @@
 // detect compares the short profile with what the tenant was judged by.
 func (row *row) detect(scene Scene, turn int) (notice Notice, isNoticed bool) {
 	if row.until > 0 && turn > row.until && scene.Now-row.moved >= row.stay {
-		row.until = 0
+		row.until, row.judged = 0, nil
 	}
 	if row.basis == nil {
 		if row.turns >= settled {
@@ -276,8 +282,15 @@
 		return notice, false
 	}
 	notice = Notice{Tenant: row.short.Tenant, What: "has changed", Distance: short, Reason: fmt.Sprintf("%s; %s, was %s", by, row.short, row.basis)}
-	row.strange, row.basis, row.until = 0, row.short.clone(), turn+calm+open
+	if row.until == 0 {
+		row.judged = row.basis
+	}
+	row.strange, row.basis = 0, row.short.clone()
 	row.from = turn + calm
+	row.until = row.from + open
+	if row.moved > 0 {
+		row.until = max(row.until, turn+open+int(max(0, row.moved+row.stay-scene.Now)/scene.Window))
+	}
 	return notice, true
 }
 
@@ -306,6 +319,7 @@
 	} else {
 		one.stay = stays * plan.scene.Window
 	}
+	one.judged = nil
 	watch.touched(one, plan.scene)
 	return next, append(notices, notice)
 }
