--- a/controlplane/tenants.go
+++ b/controlplane/tenants.go
@@ -303,7 +303,7 @@
 	}
 	route := tree.Tenant(name)
 	switch {
-	case tree.Limit("tenant_ms", "") <= 0:
+	case tree.Limit("tenant_ms", "") <= 0 && len(regions) > 0:
 		return tenant.Placement{}, verdict.Decline(409, "off", "tenant_ms is 0: no placement would be in force", 0)
 	case route == nil && len(regions) > 0:
 		return tenant.Placement{}, verdict.Decline(404, "no_tenant", fmt.Sprintf("no route has the host and prefix %q", name), 0)
