--- a/doctor/doctor.go
+++ b/doctor/doctor.go
@@ -228,6 +228,9 @@
 	for _, region := range exam.tree.Regions() {
 		names = append(names, controlplane.RegionDuty+region)
 	}
+	if exam.tree.Limit("tenant_ms", "") > 0 {
+		names = append(names, controlplane.TenantDuty)
+	}
 	for _, name := range names {
 		held, holder, serial := false, "", uint64(0)
 		for _, local := range exam.last.Status.Locals {
--- a/smoke/smoke_test.go
+++ b/smoke/smoke_test.go
@@ -336,6 +336,23 @@
 			return gjson.Get(out, "shop.live").Str == "v1"
 		})
 	})
+	t.Run("tenants are shown, and placed by hand only where they are looked at", func(t *testing.T) {
+		for words, want := range map[string]struct {
+			code int
+			says string
+		}{
+			"tenants":                      {0, "tenant_ms is 0"},
+			"tenants show --json":          {0, `"is_on":false`},
+			"tenants pin x.example/ north": {1, "tenant_ms is 0"},
+			"tenants release x.example/":   {1, "no placement"},
+			"tenants pin x.example/":       {2, "usage"},
+			"tenants move x.example/":      {2, "usage"},
+		} {
+			if code, out, _ := fleetHere.order(strings.Fields(words)...); code != want.code || !strings.Contains(out, want.says) {
+				t.Errorf("%s: %d %s", words, code, out)
+			}
+		}
+	})
 	t.Run("a cut answer is seen to be cut, and its connection is not used again", func(t *testing.T) {
 		ask, _ := http.NewRequest("POST", "http://"+datas[0]+"/v1/completions", bytes.NewReader(fleet.Prompt("shop", 1, 500, 64, "cut")))
 		for name, value := range map[string]string{"Request-Id": "cut", "Ticket": ticketAt(datas[0], "kind=broken&zone=north-1"), "Model": "shop", "Kind": "broken"} {
