--- a/permit/holder.go
+++ b/permit/holder.go
@@ -14,6 +14,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 )
 
 // Offer tells a holder that a configuration was decided, which it then fetches.
@@ -54,6 +55,19 @@
 	told    time.Duration
 	listed  time.Duration
 	texts   map[string]text // of the standings that came last, by region
+	// Placed are the tenants' placements as of their serial; nil before any came.
+	Placed       *tenant.Book
+	PlacedSerial uint64
+}
+
+// Placement is a tenant's; nil where there is none, and once the permit has ended: what
+// then may hold nobody knows, so two placements are in force for a permit's length at the
+// longest.
+func (view *View) Placement(name string, now time.Duration) *tenant.Placement {
+	if view.Placed == nil || !view.Stands(now) {
+		return nil
+	}
+	return view.Placed.Find(name)
 }
 
 // Config is the configuration as data daemons are told it, put together.
@@ -159,7 +173,7 @@
 func (holder *Holder) Renew() bool {
 	asked := holder.World.Now()
 	have := holder.View()
-	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}}
+	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.PlacedSerial}
 	if asked-have.listed < relisted {
 		ask.Members = have.sum
 	}
@@ -248,6 +262,9 @@
 	for region, one := range next.Standings {
 		next.Standings[region] = holder.without(one)
 	}
+	if book, isRead := OpenPlaced(grant.Placed); isRead && grant.PlacedSerial > have.PlacedSerial {
+		next.Placed, next.PlacedSerial = &book, grant.PlacedSerial
+	}
 	next.told = holder.World.Now()
 	next.enlist(have, grant)
 	next.Expiry = max(have.Expiry, asked+grant.Length)
