--- a/wire/wire.go
+++ b/wire/wire.go
@@ -54,13 +54,23 @@
 	World loop.World
 	// Counter, if set, counts the calls made.
 	Counter *Counter
-	guard   sync.Mutex
-	lines   map[string]*rpc.Client
+	// Dial opens a connection; net.DialTimeout if not set.
+	Dial  func(network, address string, patience time.Duration) (net.Conn, error)
+	guard sync.Mutex
+	lines map[string]*rpc.Client
 }
 
-// dialParts is which part of a call's patience the opening of a line may take.
+// dialParts is which part of a call's patience is spent on waiting for a line to open.
 const dialParts = 2
 
+// dialPatience is for how long a line may go on opening when the call that wanted it has
+// given up: where machines are far apart, that alone takes longer than some calls may.
+// It is below the second after which a lost opening packet is sent again.
+const dialPatience = 900 * time.Millisecond
+
+// errOpening is the cause when a line did not open in the part of the patience for it.
+var errOpening = errors.New("the connection is still opening")
+
 func (tcp *TCP) line(address string, patience time.Duration) (*rpc.Client, error) {
 	tcp.guard.Lock()
 	line := tcp.lines[address]
@@ -70,10 +80,36 @@
 	}
 	// An opening packet that is lost, as the machine is just starting, is sent again
 	// only after a second or more. The caller had better try again, or elsewhere.
-	conn, err := net.DialTimeout("tcp", address, patience/dialParts)
+	part := patience / dialParts
+	box := tcp.World.Mailbox()
+	go func() {
+		line, err := tcp.open(address, max(part, dialPatience))
+		box.Put(opened{line, err})
+	}()
+	got, ok := box.Take(part)
+	if !ok {
+		return nil, errOpening
+	}
+	one := got.(opened)
+	return one.line, one.err
+}
+
+type opened struct {
+	line *rpc.Client
+	err  error
+}
+
+// open opens a line and keeps it for all calls to the address, unless there is one.
+func (tcp *TCP) open(address string, patience time.Duration) (*rpc.Client, error) {
+	dial := tcp.Dial
+	if dial == nil {
+		dial = net.DialTimeout
+	}
+	conn, err := dial("tcp", address, patience)
 	if err != nil {
 		return nil, err
 	}
+	var line *rpc.Client
 	if tcp.Counter != nil {
 		line = rpc.NewClientWithCodec(newCounted(conn, tcp.Counter, address))
 	} else {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -130,6 +130,49 @@
 	})
 }
 
+// TestLinesThatOpenLate: where a connection takes longer to open than a call may wait for
+// it, a later call goes over the one that opened meanwhile; otherwise none ever could.
+func TestLinesThatOpenLate(t *testing.T) {
+	Convey("over a connection that opens after the call gave up", t, func() {
+		world := loop.NewMachine()
+		server := rpc.NewServer()
+		So(server.Register(&Note{}), ShouldBeNil)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		go wire.Serve(world, listener, server)
+		var dials atomic.Int64
+		var allowed atomic.Int64 // how long the first may take to open
+		isOpen := make(chan struct{})
+		caller := &wire.TCP{World: world, Dial: func(network, address string, patience time.Duration) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				return nil, io.EOF
+			}
+			allowed.Store(int64(patience))
+			select {
+			case <-isOpen:
+				return net.Dial(network, address)
+			case <-time.After(patience):
+				return nil, io.EOF
+			}
+		}}
+		call := func(patience time.Duration) (length int, err error) {
+			err = caller.Call(listener.Addr().String(), "Note.Take", Text{Body: body}, &length, patience)
+			return length, err
+		}
+		_, err = call(10 * time.Millisecond)
+		So(err, ShouldNotBeNil)
+		So(wire.Unsent(err), ShouldBeTrue)
+		So(time.Duration(allowed.Load()), ShouldBeBetween, 300*time.Millisecond, time.Second)
+		close(isOpen)
+		length := 0
+		for began := time.Now(); length == 0 && time.Since(began) < 10*time.Second; {
+			length, _ = call(10 * time.Second)
+		}
+		So(length, ShouldEqual, len(body))
+	})
+}
+
 // TestCountedCalls: counts are of every byte that went over the connection, by method,
 // and a line without a counter says the same.
 func TestCountedCalls(t *testing.T) {
