--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -109,11 +109,20 @@
 		World: options.World, Keeper: daemon.Keeper, Name: options.Process.Name, Incarnation: options.Incarnation, Span: daemon.span,
 		Alive: daemon.alive, Claims: daemon.claims, Reborn: daemon.reborn, Watched: daemon.Table.Watched, Wanted: daemon.duties,
 	}}
-	daemon.Objects = &rollout.Objects{World: options.World, Keeper: daemon.Keeper, Name: options.Process.Name + "." + options.Incarnation}
+	daemon.Objects = &rollout.Objects{World: options.World, Keeper: daemon.Keeper, Name: options.Process.Name + "." + options.Incarnation, Changed: daemon.moved}
 	daemon.Book = &workflow.Book{World: options.World, Keeper: daemon.Keeper}
 	return daemon, nil
 }
 
+// moved makes the regions' standings show at once what was written of a model's routes.
+func (daemon *Daemon) moved() {
+	daemon.guard.Lock()
+	defer daemon.guard.Unlock()
+	for _, region := range daemon.regions {
+		region.computer.Wake()
+	}
+}
+
 // roundPatience bounds one operation on a register.
 const roundPatience = 2 * time.Second
 
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -72,12 +72,15 @@
 	idle   map[string]bool
 	runner *rollout.Runner
 	failed string
+	// computer and roller are the loops that compute the standing and turn the runs: the
+	// one is woken by what is written of a route, the other by a new standing.
+	computer, roller *loop.Waker
 	// evacuated are the zones that were, when the table was last read.
 	evacuated map[string]bool
 }
 
 func newRegion(daemon *Daemon, name string) *region {
-	return &region{Daemon: daemon, name: name, table: map[string]*watched{}}
+	return &region{Daemon: daemon, name: name, table: map[string]*watched{}, computer: loop.NewWaker(daemon.World), roller: loop.NewWaker(daemon.World)}
 }
 
 func (region *region) tree() *settings.Tree {
@@ -99,18 +102,30 @@
 		loop.Every(region.World, region.every(func(tree *settings.Tree) time.Duration { return tree.Span("probe_ms", region.name) }), region.guarded(region.probe))
 	})
 	region.World.Go(func() {
-		loop.Every(region.World, region.every(tick), region.guarded(region.compute))
+		region.computer.Run(region.World, region.every(tick), region.guarded(region.compute))
 	})
 	region.World.Go(func() {
-		loop.Every(region.World, region.every(func(tree *settings.Tree) time.Duration {
+		region.roller.Run(region.World, region.every(func(tree *settings.Tree) time.Duration {
 			if region.hurries(tree) {
-				return tick(tree)
+				return min(tick(tree), max(tick(tree)/8, region.due()))
 			}
 			return 2 * tick(tree)
 		}), region.guarded(region.roll))
 	})
 }
 
+// due is after which time a run of the region has something to do. The loop that turns
+// the runs alone asks it.
+func (region *region) due() time.Duration {
+	region.guard.Lock()
+	runner := region.runner
+	region.guard.Unlock()
+	if runner == nil {
+		return loop.Forever
+	}
+	return runner.Due()
+}
+
 // hurries tells whether an order under a term is under way here.
 func (region *region) hurries(tree *settings.Tree) bool {
 	region.guard.Lock()
@@ -408,7 +423,7 @@
 	}
 	input.Daemons, _ = region.daemons()
 	for _, model := range models {
-		if object, err := rollout.OpenModel(values[rollout.ModelPrefix+model]); err == nil {
+		if object, err := region.Objects.Open(values[rollout.ModelPrefix+model]); err == nil {
 			if route, known := object.Routes[region.name]; known {
 				input.Routes[model] = route
 			}
@@ -445,6 +460,9 @@
 		return
 	}
 	next.Serial = value.Serial
+	if region.hurries(tree) {
+		region.roller.Wake()
+	}
 	region.Log.Info("a standing was written", zap.String("region", region.name), zap.Uint64("serial", next.Serial), zap.String("changed", standing.Changed(*before, next)), zap.Strings("replicas", next.Shown()), zap.Duration("took", region.World.Now()-now))
 	region.keep(serial, &next, now, now)
 }
--- a/rollout/objects.go
+++ b/rollout/objects.go
@@ -61,7 +61,9 @@
 	Keeper *register.Keeper
 	// Name makes nonces unique.
 	Name string
-	made atomic.Uint64
+	// Changed, if set, is told after every write of a model's object from here.
+	Changed func()
+	made    atomic.Uint64
 	// orders are when this daemon first saw an order, by its id, under guard, which
 	// nothing waits under.
 	guard  sync.Mutex
@@ -74,6 +76,12 @@
 	if err != nil {
 		return Model{}, err
 	}
+	return objects.Open(value)
+}
+
+// Open reads a model's object from its register's value. It notes when an order was
+// first seen.
+func (objects *Objects) Open(value register.Value) (Model, error) {
 	out, err := OpenModel(value)
 	if err == nil && out.Order != nil {
 		objects.seen(out.Order.ID)
@@ -111,6 +119,9 @@
 		}
 		return json.Marshal(out)
 	})
+	if err == nil && objects.Changed != nil {
+		objects.Changed()
+	}
 	return out, err
 }
 
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -85,6 +85,18 @@
 	// the standing that first showed the run's move.
 	recorded map[string]time.Duration
 	shown    map[string]uint64
+	// due is after which time the last turn left something to do.
+	due time.Duration
+}
+
+// Due is after which time a run under a term has something to do that was left by the
+// last turn; whoever turns the runs asks it.
+func (runner *Runner) Due() time.Duration { return runner.due }
+
+// wait is ErrWait, for no longer than the span.
+func (runner *Runner) wait(span time.Duration) error {
+	runner.due = min(runner.due, span)
+	return workflow.ErrWait
 }
 
 // guarded is a route that no run is on, and the counts that came before it and say
@@ -123,6 +135,7 @@
 		runner.recorded, runner.shown = map[string]time.Duration{}, map[string]uint64{}
 	}
 	var failed error
+	runner.due = loop.Forever
 	for _, model := range scene.Tree.Models(scene.Region) {
 		if scene.Idle[model] {
 			continue
--- a/rollout/term.go
+++ b/rollout/term.go
@@ -489,8 +489,8 @@
 			return Ready, nil
 		}
 	}
-	if runner.elapsed(log, contents) < contents.part(judgeShare) {
-		return nil, workflow.ErrWait
+	if elapsed := runner.elapsed(log, contents); elapsed < contents.part(judgeShare) {
+		return nil, runner.wait(contents.part(judgeShare) - elapsed)
 	}
 	return Empty, nil
 }
@@ -505,7 +505,10 @@
 		return Judgement{true, "nothing was tried"}, nil
 	}
 	elapsed := runner.elapsed(log, contents)
-	if elapsed < contents.part(judgeShare) || !scene.knows() {
+	if elapsed < contents.part(judgeShare) {
+		return nil, runner.wait(contents.part(judgeShare) - elapsed)
+	}
+	if !scene.knows() {
 		return nil, workflow.ErrWait
 	}
 	mine, other := evidence(scene, contents, base)
@@ -525,7 +528,7 @@
 	case !short:
 		return Judgement{true, "enough answers of every kind"}, nil
 	case elapsed < contents.part(lateShare):
-		return nil, workflow.ErrWait
+		return nil, runner.wait(contents.part(lateShare) - elapsed)
 	case all > 0:
 		return Judgement{true, "few answers; what there was did not fail"}, nil
 	case !asked(scene, contents.Model):
@@ -549,6 +552,9 @@
 	return false
 }
 
+// soon is when to look again at what takes others a moment.
+func soon(scene Scene) time.Duration { return standing.Tick(scene.Tree.Span("permit_ms", "")) / 2 }
+
 // agree waits until every region's trial has passed. Where no region has replicas of the
 // version there is nothing to move to.
 func (runner *Runner) agree(scene Scene, contents Contents) error {
@@ -563,7 +569,7 @@
 		}
 		switch have.Order.Passed[region] {
 		case "":
-			return workflow.ErrWait
+			return runner.wait(soon(scene))
 		case Ready:
 			isReady = true
 		}
@@ -591,7 +597,7 @@
 		isTaken = all || runner.spent(key) > permit+permit/4 // older permits have ended
 	}
 	if !isTaken {
-		return workflow.ErrWait
+		return runner.wait(soon(scene))
 	}
 	ends, elapsed := runner.spent(waits(log, contents, "drain")), runner.elapsed(log, contents)
 	patience := contents.part(drainShare)
@@ -600,7 +606,7 @@
 	}
 	isLate := elapsed > contents.part(doneShare) && ends > patience
 	if !isLate && (!scene.knows() || running(scene, contents)) {
-		return workflow.ErrWait
+		return runner.wait(soon(scene))
 	}
 	return nil
 }
