A trial spends two requests at once at the least; what is unclear is tried on

Ruled out: judging later, as the quarter after it is needed; a quicker way back after the move, which takes 0.3 s as it is.

Now two are saved up at the least before any is spent, but for a kind that was not tried yet; where mishaps are more than chance explains, though too few to be plain, the trial goes on until 0.8 of the term, and from two of them on the version goes back then.

--- a/decide/judge.go
+++ b/decide/judge.go
@@ -119,6 +119,10 @@
 // openBurst is for how long dispatches are saved up in a pot before any is spent.
 const openBurst = time.Second
 
+// leastBurst is how many are saved up at the least: a version that fails under load does
+// not show it to one request at a time.
+const leastBurst = 2
+
 // gives tells whether the kind may give the pot's trial a dispatch now.
 func (pot *pot) gives(kind string, share float64, now time.Duration) bool {
 	mine := pot.part(kind)
@@ -127,8 +131,11 @@
 	}
 	kept := 0.0
 	for _, one := range pot.kinds {
-		if one.trials > mine.trials {
+		switch {
+		case one.trials > 0 && mine.trials == 0:
 			return pot.value >= 1 // it comes first
+		case one.trials > mine.trials:
+			kept = 0
 		}
 		if one.trials < mine.trials && one.rate.rate(now) > 0 {
 			kept = 1
@@ -137,7 +144,7 @@
 	switch {
 	case pot.value < 1+kept:
 		pot.isSpending = false
-	case pot.value >= kept+max(1, pot.rate.rate(now)*share*openBurst.Seconds()):
+	case pot.value >= kept+max(leastBurst, pot.rate.rate(now)*share*openBurst.Seconds()):
 		pot.isSpending = true
 	}
 	return pot.isSpending
--- a/rollout/term.go
+++ b/rollout/term.go
@@ -519,7 +519,7 @@
 	}
 	all := mine[""].OK + mine[""].Mishaps
 	// Half of what a trial without a term wants of each kind: the term is short.
-	short := all < int(scene.Tree.Limit("trial_samples", scene.Region)/2)
+	short := all < int(scene.Tree.Limit("trial_samples", scene.Region)/2) || standing.Unclear(mine[""], other[""])
 	for _, kind := range sorted(other) {
 		one := other[kind]
 		short = short || float64(one.OK) > thinShare*float64(other[""].OK) && mine[kind].OK+mine[kind].Mishaps == 0
@@ -529,6 +529,8 @@
 		return Judgement{true, "enough answers of every kind"}, nil
 	case elapsed < contents.part(lateShare):
 		return nil, runner.wait(contents.part(lateShare) - elapsed)
+	case standing.Suspect(mine[""], other[""]):
+		return nil, &Plainly{fmt.Sprintf("version %s failed too often for what it was tried: of %d, %d failed and %d came late", contents.Version, all, mine[""].Mishaps, mine[""].Late)}
 	case all > 0:
 		return Judgement{true, "few answers; what there was did not fail"}, nil
 	case !asked(scene, contents.Model):
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -507,14 +507,31 @@
 // Worse tells whether a version's mishaps are more than chance and the others' share
 // of them explain, however small their own share: what a version is judged by before
 // all traffic goes to it. One in a hundred is held against nobody.
-func Worse(mine, other Outcome) bool {
+func Worse(mine, other Outcome) bool { return worse(mine, other, PlainMishaps) }
+
+// Suspect is Worse for what was tried so seldom that it could not show more.
+func Suspect(mine, other Outcome) bool { return worse(mine, other, PlainMishaps-1) }
+
+func worse(mine, other Outcome, least int) bool {
 	mine, other = mine.strictly(), other.strictly()
+	mean := expected(mine, other)
+	return mine.Mishaps >= least && float64(mine.Mishaps) > mean+3*math.Sqrt(mean)
+}
+
+// Unclear tells whether a version had mishaps, which the others' share of them does not
+// explain, though they are too few to be held against it.
+func Unclear(mine, other Outcome) bool {
+	mine, other = mine.strictly(), other.strictly()
+	return float64(mine.Mishaps) > expected(mine, other)
+}
+
+// expected is how many mishaps a version would have by the others' share of them.
+func expected(mine, other Outcome) float64 {
 	share := 0.01
 	if total := other.OK + other.Mishaps; total >= 4*SlowAnswers {
 		share = max(share, 1.5*float64(other.Mishaps)/float64(total))
 	}
-	expected := share * float64(mine.OK+mine.Mishaps)
-	return mine.Mishaps >= PlainMishaps && float64(mine.Mishaps) > expected+3*math.Sqrt(expected)
+	return share * float64(mine.OK+mine.Mishaps)
 }
 
 // TrialFails tells whether a trial version's failures are plain on any kind, against
