A region's duty that lapses for a moment, or whose replicas fall silent, empties nothing

That most of a region is silent is doubted only from two spans of dark_ms after the duty was taken, as before that replicas may not have been heard at all. And holders ran for one vacant duty after the other, each in 0.3 to 0.5 s; what they held lapsed meanwhile, and its tables were emptied and made anew from the last standing.

Ruled out: the list (it named all); the replicas (they served).

Now replicas that were heard are doubted at once; vacant duties are run for all at once; and a duty that lapses and is regained under the same serial keeps its tables, for one session bound, with everybody's life to be seen anew.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -53,16 +53,20 @@
 // Lock order: guard alone; nothing waits under it.
 type region struct {
 	*Daemon
-	name    string
-	guard   sync.Mutex
-	duty    uint64
-	since   time.Duration // when the duty was taken
-	table   map[string]*watched
-	seeded  bool // the table has been filled, from the last standing or the platform
-	listAt  time.Duration
-	listErr string
-	before  *standing.Standing
-	written time.Duration
+	name  string
+	guard sync.Mutex
+	duty  uint64
+	since time.Duration // when the duty was taken, or taken up again
+	// isLapsed tells that the duty is not known to be held, since lapsed: for want of a
+	// majority's word, or as it was lost.
+	isLapsed bool
+	lapsed   time.Duration
+	table    map[string]*watched
+	seeded   bool // the table has been filled, from the last standing or the platform
+	listAt   time.Duration
+	listErr  string
+	before   *standing.Standing
+	written  time.Duration
 	// proved is when the last computation began that found before to be so, or
 	// wrote it, under the duty.
 	proved time.Duration
@@ -148,14 +152,27 @@
 	return func() bool {
 		serial, held := region.Duties.Held(RegionDuty + region.name)
 		region.guard.Lock()
-		if !held {
+		now := region.World.Now()
+		switch {
+		case !held && !region.isLapsed:
+			region.isLapsed, region.lapsed = true, now
+		case !held && now-region.lapsed > region.span():
 			region.duty, region.seeded, region.before = 0, false, nil
 			region.table = map[string]*watched{}
 			region.runner = nil
-		} else if region.duty != serial {
+		case held && region.duty != serial:
 			region.duty, region.seeded, region.before, region.idle = serial, false, nil, nil
-			region.runner, region.since, region.listAt = nil, region.World.Now(), 0
+			region.table = map[string]*watched{}
+			region.runner, region.since, region.listAt = nil, now, 0
+		case held && region.isLapsed:
+			// Nobody had the duty meanwhile. What is known stands; who is alive is to be
+			// seen anew.
+			region.since, region.listAt = now, 0
+			for _, one := range region.table {
+				one.probed, one.answered = false, now
+			}
 		}
+		region.isLapsed = region.isLapsed && !held
 		region.guard.Unlock()
 		if tree := region.tree(); held && tree != nil {
 			step(serial, tree)
@@ -338,7 +355,7 @@
 		}
 		if one.engine(tree) != nil {
 			row.Boot = one.ID
-			row.Alive = (row.Alive || isDoubtful && now-region.since > 2*dark) && !one.isOut(tallies[one.ID], now)
+			row.Alive = (row.Alive || isDoubtful && (one.probed || now-region.since > 2*dark)) && !one.isOut(tallies[one.ID], now)
 		}
 		out = append(out, row)
 	}
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -137,6 +137,11 @@
 	if err != nil {
 		return // what is held expires by itself
 	}
+	type vacancy struct {
+		name string
+		seen Duty
+	}
+	var vacancies []vacancy
 	for index, name := range names {
 		var duty Duty
 		if value := values[keys[index]]; value.Serial > 0 {
@@ -144,9 +149,14 @@
 		}
 		keeper.note(name, duty, now)
 		if keeper.vacant(name, duty) {
-			keeper.stand(name, duty)
+			vacancies = append(vacancies, vacancy{name, duty})
 		}
 	}
+	// All at once: what is held lapses if it is not looked at again soon.
+	loop.Gather(keeper.World, len(vacancies), keeper.Span(), func(index int) bool {
+		keeper.stand(vacancies[index].name, vacancies[index].seen)
+		return true
+	}, func(int, bool) bool { return false })
 }
 
 // note takes what the register says into the tables.
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -41,6 +41,8 @@
 	Grey Grey
 	// SaysIll makes its probes' answers say so, whatever it does.
 	SaysIll bool
+	// IsDeaf leaves its probes unanswered, as where they wait behind requests.
+	IsDeaf bool
 }
 
 // Grey is how a replica fails a share of its requests while its probes say that it is
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -326,6 +326,9 @@
 	}
 	park.Deliver(node, target.Address, func(at *sim.Node) {
 		engine := park.Engines[target.Address]
+		if engine.IsDeaf {
+			return
+		}
 		// A probe waits for a slot, or is turned away, as a request is.
 		for len(engine.active) >= engine.Berths && len(engine.waiting) < engine.Queue {
 			loop.Sleep(at, 10*time.Millisecond)
