After a full loss configuration, duties and first probes are hurried

Half a second went until the configuration was read (its first try finds no majority yet), up to 0.4 s until the duties were looked at with it, 0.15 s for a draw that a last holder need not make, 0.45 s until the first probes, 0.25 s until the standing was computed after them.

Ruled out: more for replicas that count as cold, as some may be.

Now each of these wakes the next; the configuration is asked for 18 times a session bound until it was read once.

--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -293,13 +293,25 @@
 
 // watchConfig reads the configuration and keeps one task per region.
 func (daemon *Daemon) watchConfig() {
-	loop.Every(daemon.World, daemon.spans(1, 3), func() bool {
+	wasRead, isKnown := false, false
+	loop.Every(daemon.World, func() time.Duration {
+		if !wasRead && daemon.Core().Epoch > 0 {
+			return daemon.span() / 18 // nothing is done before
+		}
+		return daemon.span() / 3
+	}, func() bool {
 		if daemon.Core().Epoch > 0 {
-			if err := daemon.Office.Refresh(); err != nil {
+			err := daemon.Office.Refresh()
+			wasRead = wasRead || err == nil
+			if err != nil {
 				daemon.Log.Debug("the configuration can't be read", zap.Error(err))
 			}
 		}
 		if _, _, tree := daemon.Office.Current(); tree != nil {
+			if !isKnown {
+				isKnown = true
+				daemon.Duties.Hurry()
+			}
 			for _, name := range tree.Regions() {
 				daemon.ensure(name)
 			}
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -76,15 +76,17 @@
 	idle   map[string]bool
 	runner *rollout.Runner
 	failed string
-	// computer and roller are the loops that compute the standing and turn the runs: the
-	// one is woken by what is written of a route, the other by a new standing.
-	computer, roller *loop.Waker
+	// prober, computer and roller are the loops that probe replicas, compute the standing
+	// and turn the runs: the first is woken by replicas of a standing that was restored,
+	// the second by what is written of a route and where a new holder of the duty has
+	// heard all replicas, the third by a new standing.
+	prober, computer, roller *loop.Waker
 	// evacuated are the zones that were, when the table was last read.
 	evacuated map[string]bool
 }
 
 func newRegion(daemon *Daemon, name string) *region {
-	return &region{Daemon: daemon, name: name, table: map[string]*watched{}, computer: loop.NewWaker(daemon.World), roller: loop.NewWaker(daemon.World)}
+	return &region{Daemon: daemon, name: name, table: map[string]*watched{}, prober: loop.NewWaker(daemon.World), computer: loop.NewWaker(daemon.World), roller: loop.NewWaker(daemon.World)}
 }
 
 func (region *region) tree() *settings.Tree {
@@ -103,7 +105,7 @@
 		}), region.guarded(region.list))
 	})
 	region.World.Go(func() {
-		loop.Every(region.World, region.every(func(tree *settings.Tree) time.Duration { return tree.Span("probe_ms", region.name) }), region.guarded(region.probe))
+		region.prober.Run(region.World, region.every(func(tree *settings.Tree) time.Duration { return tree.Span("probe_ms", region.name) }), region.guarded(region.probe))
 	})
 	region.World.Go(func() {
 		region.computer.Run(region.World, region.every(tick), region.guarded(region.compute))
@@ -164,6 +166,7 @@
 			region.duty, region.seeded, region.before, region.idle = serial, false, nil, nil
 			region.table = map[string]*watched{}
 			region.runner, region.since, region.listAt = nil, now, 0
+			region.computer.Wake()
 		case held && region.isLapsed:
 			// Nobody had the duty meanwhile. What is known stands; who is alive is to be
 			// seen anew.
@@ -281,13 +284,28 @@
 			if vitals.Boot != one.vitals.Boot {
 				one.leaving = one.Leaving
 			}
+			isFirst := !one.probed
 			one.vitals, one.probed, one.answered = vitals, true, asked
+			if isFirst && !region.awaits() {
+				region.computer.Wake()
+			}
 			one.coldUntil = max(one.coldUntil, asked+vitals.Cold)
 			one.leaving = one.leaving || vitals.Leaving
 		})
 	}
 }
 
+// awaits tells whether any replica has not answered this holder of the duty yet; guard is
+// held.
+func (region *region) awaits() bool {
+	for _, one := range region.table {
+		if !one.probed {
+			return true
+		}
+	}
+	return false
+}
+
 // tallies are what data daemons report of their latest requests, by replica.
 func (region *region) tallies() map[string]standing.Outcome {
 	out := map[string]standing.Outcome{}
@@ -396,6 +414,7 @@
 	}
 	if len(last.Places) > 0 {
 		region.seeded = true
+		region.prober.Wake()
 	}
 }
 
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -61,6 +61,7 @@
 type Keeper struct {
 	Options
 	guard sync.Mutex
+	waker *loop.Waker
 	held  map[string]hold
 	stop  bool
 	// Changes counts hands changed, as the doctor's sign of flapping.
@@ -116,12 +117,24 @@
 
 // Run watches the duties and runs for those that fall vacant.
 func (keeper *Keeper) Run() {
-	loop.Every(keeper.World, func() time.Duration { return keeper.Span() / 4 }, func() bool {
+	keeper.turner().Run(keeper.World, func() time.Duration { return keeper.Span() / 4 }, func() bool {
 		keeper.Turn()
 		return true
 	})
 }
 
+// Hurry looks at the duties soon, as there are more of them now.
+func (keeper *Keeper) Hurry() { keeper.turner().Wake() }
+
+func (keeper *Keeper) turner() *loop.Waker {
+	keeper.guard.Lock()
+	defer keeper.guard.Unlock()
+	if keeper.waker == nil {
+		keeper.waker = loop.NewWaker(keeper.World)
+	}
+	return keeper.waker
+}
+
 // Turn looks once at every duty.
 func (keeper *Keeper) Turn() {
 	names := keeper.Wanted()
@@ -213,8 +226,11 @@
 
 // stand runs for a duty that was seen in the given state.
 func (keeper *Keeper) stand(name string, seen Duty) {
-	// A draw keeps all from running at once; the registers decide in any case.
-	loop.Sleep(keeper.World, time.Duration(keeper.World.Draw(int64(keeper.Span()/10))))
+	// A draw keeps all from running at once; the registers decide in any case. Its last
+	// holder, begun anew, has nobody to wait for.
+	if seen.Holder != keeper.Name {
+		loop.Sleep(keeper.World, time.Duration(keeper.World.Draw(int64(keeper.Span()/10))))
+	}
 	asked := keeper.World.Now()
 	next := Duty{Holder: keeper.Name, Incarnation: keeper.Incarnation, Serial: seen.Serial + 1}
 	_, err := keeper.Keeper.Change(Prefix+name, func(value register.Value) ([]byte, error) {
--- a/fleet/regain_test.go
+++ b/fleet/regain_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"swifttiller/fleet"
+	"swifttiller/permit"
 )
 
 // namesOf are the names of a plan's words, which stand before their zones.
@@ -64,3 +66,57 @@
 		park.Close()
 	}
 }
+
+// TestStandingsComeBackSoon: after all daemons were lost at once, with regions 55 ms apart
+// as a deployment has them, every data daemon goes by standings that are kept.
+func TestStandingsComeBackSoon(t *testing.T) {
+	worst := time.Duration(0)
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		park := fleet.NewPark(seed, fleet.RoutedShapes["small"].Plan())
+		for _, from := range park.Names() {
+			for _, to := range park.Names() {
+				if fleet.Region(park.Zone(from)) != fleet.Region(park.Zone(to)) {
+					park.Delay(from, to, 55*time.Millisecond)
+				}
+			}
+		}
+		park.Run(warmRouted)
+		controls, datas := namesOf(slices.Concat(park.Plan.Controls, park.Plan.Diskless)), namesOf(park.Plan.Datas)
+		for _, name := range slices.Concat(controls, datas) {
+			park.Crash(name)
+		}
+		park.Run(1400 * time.Millisecond)
+		for _, name := range controls {
+			park.StartControl(name)
+		}
+		for _, name := range datas {
+			park.StartData(name)
+		}
+		from := park.Now()
+		isKept := func(view *permit.View) bool {
+			for _, region := range park.Regions() {
+				if _, has := view.Standings[region]; !has || view.Unkept[region] || len(view.Standings[region].Rows) == 0 {
+					return false
+				}
+			}
+			return view.Stands(park.Now())
+		}
+		if !park.Until(20*time.Second, func() bool {
+			for _, name := range datas {
+				if !isKept(park.Datas[name].Holder.View()) {
+					return false
+				}
+			}
+			return true
+		}) {
+			t.Fatalf("seed %d: standings do not come back", seed)
+		}
+		took := park.Now() - from
+		worst = max(worst, took)
+		t.Logf("seed %d: %v", seed, took)
+		park.Close()
+	}
+	if worst > 2800*time.Millisecond {
+		t.Errorf("standings were kept again only after %v", worst)
+	}
+}
