--- a/fleet/check.go
+++ b/fleet/check.go
@@ -80,8 +80,12 @@
 // tells how many cases each rule had to judge: a rule that judged none has shown
 // nothing.
 func Check(park *Park, facts Facts) (all []Broken, judged map[string]int) {
+	return apply(Rules, park, facts)
+}
+
+func apply(rules []Rule, park *Park, facts Facts) (all []Broken, judged map[string]int) {
 	judged = map[string]int{}
-	for _, rule := range Rules {
+	for _, rule := range rules {
 		broken, count := rule.Check(park, facts)
 		judged[rule.Name] = count
 		all = append(all, broken...)
--- a/fleet/checkrouted.go
+++ b/fleet/checkrouted.go
@@ -31,13 +31,7 @@
 
 // CheckRouted applies them.
 func CheckRouted(park *Park, facts Facts) (all []Broken, judged map[string]int) {
-	judged = map[string]int{}
-	for _, rule := range RoutedRules {
-		broken, count := rule.Check(park, facts)
-		judged[rule.Name] = count
-		all = append(all, broken...)
-	}
-	return all, judged
+	return apply(RoutedRules, park, facts)
 }
 
 // runsOf are the runs of each try, in the order in which they arrived.
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -257,8 +257,7 @@
 		return &workflow.Terminal{Reason: "the placement holds any version, of which none is loaded by order; a roll-out there needs a term"}
 	}
 	var base struct{ Old string }
-	if err := log.Step("validate", func() (any, error) {
-		runner.point("validate")
+	if err := runner.step(log, "validate", func() (any, error) {
 		old, err := runner.validate(scene, log, contents)
 		return struct{ Old string }{old}, err
 	}, &base); err != nil {
@@ -272,35 +271,19 @@
 			return err
 		}
 	}
-	if err := log.Step("order", func() (any, error) {
-		runner.point("order")
+	if err := runner.step(log, "order", func() (any, error) {
 		return runner.order(scene, contents, nil)
 	}, nil); err != nil {
 		return err
 	}
-	if err := log.Step("ready", func() (any, error) {
-		runner.point("ready")
+	if err := runner.step(log, "ready", func() (any, error) {
 		return runner.ready(scene, log, contents, "order", nil)
 	}, nil); err != nil {
 		return err
 	}
-	var serial uint64
-	if err := log.Step("serial", func() (any, error) {
-		runner.point("serial")
-		return runner.Objects.NextSerial(scene.Region)
-	}, &serial); err != nil {
-		return err
-	}
-	if err := log.Step("route", func() (any, error) {
-		runner.point("route")
-		return nil, runner.route(scene, log, contents, func(model *Model, route *standing.Route) {
-			if route.Version != contents.Version {
-				route.Previous = route.Version
-			}
-			route.Version, route.Trial, route.TrialReplicas = contents.Version, "", nil
-			route.Serial, route.Moved, route.Watched = serial, runner.World.Wall(), base.Old != ""
-		})
-	}, nil); err != nil {
+	if err := runner.move(scene, log, contents, base.Old != "", func(revise func(*standing.Route)) error {
+		return runner.route(scene, log, contents, func(_ *Model, route *standing.Route) { revise(route) })
+	}); err != nil {
 		return err
 	}
 	if base.Old != "" {
@@ -308,8 +291,7 @@
 			return err
 		}
 	}
-	if err := log.Step("live", func() (any, error) {
-		runner.point("live")
+	if err := runner.step(log, "live", func() (any, error) {
 		return nil, runner.route(scene, log, contents, func(model *Model, route *standing.Route) {
 			model.Live = live(model)
 			route.Run, route.Watched = "", false
@@ -320,12 +302,37 @@
 	if base.Old == "" {
 		return nil
 	}
-	return log.Step("standby", func() (any, error) {
-		runner.point("standby")
+	return runner.step(log, "standby", func() (any, error) {
 		return nil, runner.Objects.Schedule(contents.Model, base.Old, scene.Region, scene.Duty, STANDBY, scene.Tree.Span("standby_ms", scene.Region))
 	}, nil)
 }
 
+// step is the log's, past a point of the same name.
+func (runner *Runner) step(log *workflow.Log, name string, do func() (any, error), result any) error {
+	return log.Step(name, func() (any, error) {
+		runner.point(name)
+		return do()
+	}, result)
+}
+
+// move leads the region's route to the run's version, under a serial that is recorded
+// before; change revises the route while it is the run's.
+func (runner *Runner) move(scene Scene, log *workflow.Log, contents Contents, isWatched bool, change func(revise func(*standing.Route)) error) error {
+	var serial uint64
+	if err := runner.step(log, "serial", func() (any, error) { return runner.Objects.NextSerial(scene.Region) }, &serial); err != nil {
+		return err
+	}
+	return runner.step(log, "route", func() (any, error) {
+		return nil, change(func(route *standing.Route) {
+			if route.Version != contents.Version {
+				route.Previous = route.Version
+			}
+			route.Version, route.Trial, route.TrialReplicas = contents.Version, "", nil
+			route.Serial, route.Moved, route.Watched = serial, runner.World.Wall(), isWatched
+		})
+	}, nil)
+}
+
 func read(log *workflow.Log) (contents Contents, err error) {
 	return contents, unmarshal(log.Run().Contents, &contents)
 }
@@ -444,20 +451,17 @@
 // kind of request against the old one.
 func (runner *Runner) trial(scene Scene, log *workflow.Log, contents Contents, old string) error {
 	var selected []string
-	if err := log.Step("trial-select", func() (any, error) {
-		runner.point("trial-select")
+	if err := runner.step(log, "trial-select", func() (any, error) {
 		return runner.selectTrial(scene, log, contents)
 	}, &selected); err != nil {
 		return err
 	}
-	if err := log.Step("trial-order", func() (any, error) {
-		runner.point("trial-order")
+	if err := runner.step(log, "trial-order", func() (any, error) {
 		return runner.order(scene, contents, selected)
 	}, nil); err != nil {
 		return err
 	}
-	if err := log.Step("trial-ready", func() (any, error) {
-		runner.point("trial-ready")
+	if err := runner.step(log, "trial-ready", func() (any, error) {
 		return runner.ready(scene, log, contents, "trial-order", selected)
 	}, nil); err != nil {
 		return err
@@ -470,16 +474,14 @@
 	if err := log.Step("trial-serial", func() (any, error) { return runner.Objects.NextSerial(scene.Region) }, &serial); err != nil {
 		return err
 	}
-	if err := log.Step("trial-route", func() (any, error) {
-		runner.point("trial-route")
+	if err := runner.step(log, "trial-route", func() (any, error) {
 		return nil, runner.route(scene, log, contents, func(_ *Model, route *standing.Route) {
 			route.Trial, route.TrialReplicas, route.Serial = contents.Version, selected, serial
 		})
 	}, nil); err != nil {
 		return err
 	}
-	return log.Step("trial-judge", func() (any, error) {
-		runner.point("trial-judge")
+	return runner.step(log, "trial-judge", func() (any, error) {
 		return runner.judge(scene, log, contents, old, base)
 	}, nil)
 }
@@ -674,8 +676,7 @@
 	if err := log.Step("watch-base", func() (any, error) { return totals(scene, contents, old), nil }, &base); err != nil {
 		return err
 	}
-	return log.Step("watch", func() (any, error) {
-		runner.point("watch")
+	return runner.step(log, "watch", func() (any, error) {
 		mine, _ := since(scene, contents, old, base)
 		if kind, bad := plain(scene, contents, old, mine, map[string]standing.Outcome{}); bad {
 			return nil, &Plainly{fmt.Sprintf("version %s fails on kind %q after the route moved", contents.Version, kind)}
--- a/rollout/term.go
+++ b/rollout/term.go
@@ -290,8 +290,7 @@
 // within goes through the steps of a run under a term.
 func (runner *Runner) within(scene Scene, log *workflow.Log, contents Contents) error {
 	var base map[string]standing.Outcome
-	if err := log.Step("validate", func() (any, error) {
-		runner.point("validate")
+	if err := runner.step(log, "validate", func() (any, error) {
 		if placement, _ := scene.Tree.Placement(contents.Model, scene.Region); !placement.Any() {
 			return nil, &workflow.Terminal{Reason: fmt.Sprintf("model %q is not placed in region %s with any version", contents.Model, scene.Region)}
 		}
@@ -316,20 +315,17 @@
 		return err
 	}
 	ending := Empty
-	if err := log.Step("ready", func() (any, error) {
-		runner.point("ready")
+	if err := runner.step(log, "ready", func() (any, error) {
 		return runner.await(scene, log, contents)
 	}, &ending); err != nil {
 		return err
 	}
-	if err := log.Step("trial-judge", func() (any, error) {
-		runner.point("trial-judge")
+	if err := runner.step(log, "trial-judge", func() (any, error) {
 		return runner.judgeWithin(scene, log, contents, base, ending)
 	}, nil); err != nil {
 		return err
 	}
-	if err := log.Step("pass", func() (any, error) {
-		runner.point("pass")
+	if err := runner.step(log, "pass", func() (any, error) {
 		return nil, runner.own(scene, log, contents, func(order *Order, _ *standing.Route) {
 			if order.Passed == nil {
 				order.Passed = map[string]string{}
@@ -339,39 +335,22 @@
 	}, nil); err != nil {
 		return err
 	}
-	if err := log.Step("agree", func() (any, error) {
-		runner.point("agree")
+	if err := runner.step(log, "agree", func() (any, error) {
 		return nil, runner.agree(scene, contents)
 	}, nil); err != nil {
 		return err
 	}
-	var serial uint64
-	if err := log.Step("serial", func() (any, error) {
-		runner.point("serial")
-		return runner.Objects.NextSerial(scene.Region)
-	}, &serial); err != nil {
+	if err := runner.move(scene, log, contents, true, func(revise func(*standing.Route)) error {
+		return runner.own(scene, log, contents, func(_ *Order, route *standing.Route) { revise(route) })
+	}); err != nil {
 		return err
 	}
-	if err := log.Step("route", func() (any, error) {
-		runner.point("route")
-		return nil, runner.own(scene, log, contents, func(_ *Order, route *standing.Route) {
-			if route.Version != contents.Version {
-				route.Previous = route.Version
-			}
-			route.Version, route.Trial, route.Serial = contents.Version, "", serial
-			route.Watched, route.Moved = true, runner.World.Wall()
-		})
-	}, nil); err != nil {
-		return err
-	}
-	if err := log.Step("settle", func() (any, error) {
-		runner.point("settle")
+	if err := runner.step(log, "settle", func() (any, error) {
 		return nil, runner.settle(scene, log, contents)
 	}, nil); err != nil {
 		return err
 	}
-	return log.Step("live", func() (any, error) {
-		runner.point("live")
+	return runner.step(log, "live", func() (any, error) {
 		return nil, runner.own(scene, log, contents, func(order *Order, route *standing.Route) {
 			if order.Done == nil {
 				order.Done = map[string]bool{}
--- a/settings/first_test.go
+++ b/settings/first_test.go
@@ -9,6 +9,22 @@
 	"swifttiller/settings"
 )
 
+// load reads a process's settings from a file with the field and from the flags.
+func load(t *testing.T, field string, flags []string) (*settings.Process, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	text := `{"name":"c1","region":"r","zone":"z","wire":"127.0.0.1:1","http":"127.0.0.1:2","seeds":["127.0.0.1:1"]` + field + `}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set := flag.NewFlagSet("c1", flag.ContinueOnError)
+	settings.ProcessFlags(set)
+	if err := set.Parse(flags); err != nil {
+		t.Fatal(err)
+	}
+	return settings.LoadProcess(path, set)
+}
+
 // TestFirst: the first start is told by file or flag, and by nothing else.
 func TestFirst(t *testing.T) {
 	for _, one := range []struct {
@@ -25,17 +41,7 @@
 		{`,"first":"true"`, nil, false, false},
 		{`,"first":1`, nil, false, false},
 	} {
-		path := filepath.Join(t.TempDir(), "settings.json")
-		text := `{"name":"c1","region":"r","zone":"z","wire":"127.0.0.1:1","http":"127.0.0.1:2","seeds":["127.0.0.1:1"]` + one.field + `}`
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		set := flag.NewFlagSet("c1", flag.ContinueOnError)
-		settings.ProcessFlags(set)
-		if err := set.Parse(one.flags); err != nil {
-			t.Fatal(err)
-		}
-		process, err := settings.LoadProcess(path, set)
+		process, err := load(t, one.field, one.flags)
 		if (err == nil) != one.holds || err == nil && process.First != one.isFirst {
 			t.Errorf("%s %v: %+v, %v", one.field, one.flags, process, err)
 		}
@@ -55,17 +61,7 @@
 		{"", []string{"--count"}, true, true},
 		{`,"count":1`, nil, false, false},
 	} {
-		path := filepath.Join(t.TempDir(), "settings.json")
-		text := `{"name":"c1","region":"r","zone":"z","wire":"127.0.0.1:1","http":"127.0.0.1:2","seeds":["127.0.0.1:1"]` + one.field + `}`
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		set := flag.NewFlagSet("c1", flag.ContinueOnError)
-		settings.ProcessFlags(set)
-		if err := set.Parse(one.flags); err != nil {
-			t.Fatal(err)
-		}
-		process, err := settings.LoadProcess(path, set)
+		process, err := load(t, one.field, one.flags)
 		if (err == nil) != one.holds || err == nil && process.Count != one.counts {
 			t.Errorf("%s %v: %+v, %v", one.field, one.flags, process, err)
 		}
