--- a/permit/holder.go
+++ b/permit/holder.go
@@ -50,11 +50,14 @@
 	// Members have their uptimes as of told; they came, with their sum, at listed.
 	Members []session.Member
 	Expiry  time.Duration
-	sum     uint64
-	out     []string // the evacuated zones, as they were told
-	told    time.Duration
-	listed  time.Duration
-	texts   map[string]text // of the standings that came last, by region
+	// IsMoving tells that some standing has a version on trial, or one that was left and
+	// stands by.
+	IsMoving bool
+	sum      uint64
+	out      []string // the evacuated zones, as they were told
+	told     time.Duration
+	listed   time.Duration
+	texts    map[string]text // of the standings that came last, by region
 	// Placed are the tenants' placements as of their serial; nil before any came.
 	Placed       *tenant.Book
 	PlacedSerial uint64
@@ -133,7 +136,8 @@
 
 // Run renews the permit until the world ends: each third of its length, and each
 // sixth while asks bring none, so that two in a row may go unheard, or standings that
-// nobody keeps up to date, by which replicas count as cold.
+// nobody keeps up to date, by which replicas count as cold; and while versions move, as a
+// run waits for every daemon to have seen that.
 func (holder *Holder) Run() {
 	holder.waker.Run(holder.World, func() time.Duration {
 		switch {
@@ -141,7 +145,7 @@
 			// Nothing is served until the first one; but where all begin at once, and
 			// there is none yet, they would only be in each other's way.
 			return min(holder.span()/18<<min(holder.fruitless.Load(), 8)/2, holder.span()/Renewals)
-		case holder.fruitless.Load() > 0 || len(holder.View().Unkept) > 0:
+		case holder.fruitless.Load() > 0 || len(holder.View().Unkept) > 0, holder.View().IsMoving:
 			return holder.span() / 6
 		}
 		return holder.span() / Renewals
@@ -155,6 +159,18 @@
 	})
 }
 
+// moving tells whether versions move in any of the standings.
+func moving(standings map[string]standing.Standing) bool {
+	for _, one := range standings {
+		for _, row := range one.Rows {
+			if row.Trial || row.Back {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // relisted is after which time members are asked for anew even if they are the same,
 // as clocks part that uptimes are reckoned on by.
 const relisted = 30 * time.Second
@@ -265,7 +281,7 @@
 	if book, isRead := OpenPlaced(grant.Placed); isRead && grant.PlacedSerial > have.PlacedSerial {
 		next.Placed, next.PlacedSerial = &book, grant.PlacedSerial
 	}
-	next.told = holder.World.Now()
+	next.told, next.IsMoving = holder.World.Now(), moving(next.Standings)
 	next.enlist(have, grant)
 	next.Expiry = max(have.Expiry, asked+grant.Length)
 	holder.view.Store(&next)
