A fetch has as long as an ask, and a whole configuration longer each time

A whole configuration that took longer than a permit's length would never have come.

Now a delta's fetch has half of the length, as an ask has, and a whole one up to four lengths, doubled with each ask that brought nothing.

--- a/permit/holder.go
+++ b/permit/holder.go
@@ -345,9 +345,10 @@
 	}
 	trouble := errNotFetched
 	for _, base := range bases {
-		patience := holder.span() / 4
+		patience := holder.span() / 2
 		if base == 0 {
-			patience = holder.span() // as it may be long, and is not to be sent twice
+			// It may be long, and is not to be sent twice; if that is not enough, longer.
+			patience = holder.span() << min(holder.fruitless.Load(), 2)
 		}
 		reply, err := holder.Client.Ask("Permit.Fetch", Want{Serial: serial, Base: base}, func() any { return new(Edition) }, func(reply any) bool { return reply.(*Edition).Serial >= serial }, patience)
 		if err != nil {
