--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,6 +18,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 	"swifttiller/verdict"
 	"swifttiller/wire"
 )
@@ -53,6 +54,8 @@
 	Trial, Spill, Affine      bool
 	// Foreseen is the time to the first piece that a routed request was sent for.
 	Foreseen time.Duration
+	// Vouched is when the replica had last shown that it is alive.
+	Vouched time.Duration
 
 	routed   *Routed
 	seat     *engine
@@ -125,7 +128,9 @@
 	fullUntil map[string]time.Duration
 	// past are lives of replicas that are over, as a new connection has shown, which
 	// the standing may show yet.
-	past    map[string]string
+	past map[string]string
+	// wary is until when replicas that showed no life of late are avoided.
+	wary    time.Duration
 	counts  Counts
 	tickets tickets
 	// engines are this daemon's knowledge of replicas, by id, for routed requests;
@@ -137,6 +142,8 @@
 	// readersBy are the replicas for long prompts, by model, as of the view readersOf.
 	readersOf *permit.View
 	readersBy map[string]map[string]bool
+	// tenants counts what is to be told of heavy tenants.
+	tenants tenant.Counter
 }
 
 // Counts are what operators watch.
@@ -762,6 +769,9 @@
 	for region, one := range view.Standings {
 		report.Standing[region] = one.Serial
 	}
+	if view.Tree != nil {
+		report.Tenants = decider.tenants.Turn(now, view.Tree.Span("tenant_ms", ""))
+	}
 	for version := range decider.judging.failed {
 		report.Failed = append(report.Failed, version)
 	}
