--- a/permit/holder.go
+++ b/permit/holder.go
@@ -110,9 +110,10 @@
 // are on their way to a holder. No view shows a life that leavers has, below its serial.
 type Holder struct {
 	HolderOptions
-	guard   sync.Mutex // over replacing the view
-	floor   uint64
-	leavers map[Leaver]left // lives that get nothing any more, as notices told
+	guard sync.Mutex // over replacing the view
+	floor uint64
+	// leavers are lives that get nothing any more, as notices told.
+	leavers map[Leaver]left
 	view    atomic.Pointer[View]
 	waker   *loop.Waker
 	// fruitless counts the last asks in a row that brought no grant.
