--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -108,7 +108,7 @@
 	daemon.Office = &permit.Office{Options: permit.Options{World: options.World, Net: options.Net, Keeper: daemon.Keeper, Table: daemon.Table, Kept: daemon.kept}}
 	daemon.Duties = &duty.Keeper{Options: duty.Options{
 		World: options.World, Keeper: daemon.Keeper, Name: options.Process.Name, Incarnation: options.Incarnation, Span: daemon.span,
-		Alive: daemon.alive, Claims: daemon.claims, Reborn: daemon.reborn, Watched: daemon.Table.Watched, Wanted: daemon.duties,
+		Alive: daemon.alive, Claims: daemon.claims, Reborn: daemon.reborn, Watched: daemon.Table.Watched, IsBack: daemon.Core().Epoch > 0, Wanted: daemon.duties,
 	}}
 	daemon.Objects = &rollout.Objects{World: options.World, Keeper: daemon.Keeper, Name: options.Process.Name + "." + options.Incarnation}
 	daemon.Book = &workflow.Book{World: options.World, Keeper: daemon.Keeper}
@@ -259,6 +259,11 @@
 	return service.office.Renew(ask, grant)
 }
 
+// Fetch gives configurations.
+func (service officeService) Fetch(want permit.Want, edition *permit.Edition) error {
+	return service.office.Fetch(want, edition)
+}
+
 // Run starts the daemon's loops.
 func (daemon *Daemon) Run() {
 	world := daemon.World
