--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -272,8 +272,6 @@
 	world.Go(daemon.Duties.Run)
 	world.Go(daemon.watchConfig)
 	world.Go(daemon.janitor)
-	world.Go(daemon.tellTenants)
-	world.Go(daemon.watchTenants)
 	world.Go(daemon.tend)
 	if daemon.Acceptor != nil {
 		world.Go(daemon.repair)
@@ -307,6 +305,7 @@
 			for _, name := range tree.Regions() {
 				daemon.ensure(name)
 			}
+			daemon.attendTenants()
 		}
 		return !daemon.stopped.Load()
 	})
--- a/controlplane/tenants.go
+++ b/controlplane/tenants.go
@@ -43,6 +43,7 @@
 // hold the duty.
 type tenants struct {
 	told  atomic.Pointer[tenant.Told]
+	begun sync.Once
 	guard sync.Mutex
 	duty  uint64
 	watch *tenant.Watch
@@ -64,6 +65,16 @@
 	return daemon.span(), false
 }
 
+// attendTenants begins to look at tenants once the settings first say so.
+func (daemon *Daemon) attendTenants() {
+	if _, isOn := daemon.tenantSpan(); isOn {
+		daemon.tenants.begun.Do(func() {
+			daemon.World.Go(daemon.tellTenants)
+			daemon.World.Go(daemon.watchTenants)
+		})
+	}
+}
+
 // tellTenants adds up what data daemons tell this one, for whoever holds the duty.
 func (daemon *Daemon) tellTenants() {
 	serial := uint64(0)
