--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -80,12 +80,15 @@
 	idle   map[string]bool
 	runner *rollout.Runner
 	failed string
+	// computer and roller are the loops that compute the standing and turn the runs: the
+	// one is woken by what is written of a route, the other by a new standing.
+	computer, roller *loop.Waker
 	// evacuated are the zones that were, when the table was last read.
 	evacuated map[string]bool
 }
 
 func newRegion(daemon *Daemon, name string) *region {
-	return &region{Daemon: daemon, name: name, table: map[string]*watched{}}
+	return &region{Daemon: daemon, name: name, table: map[string]*watched{}, computer: loop.NewWaker(daemon.World), roller: loop.NewWaker(daemon.World)}
 }
 
 func (region *region) tree() *settings.Tree {
@@ -107,18 +110,30 @@
 		loop.Every(region.World, region.every(func(tree *settings.Tree) time.Duration { return tree.Span("probe_ms", region.name) }), region.guarded(region.probe))
 	})
 	region.World.Go(func() {
-		loop.Every(region.World, region.every(tick), region.guarded(region.compute))
+		region.computer.Run(region.World, region.every(tick), region.guarded(region.compute))
 	})
 	region.World.Go(func() {
-		loop.Every(region.World, region.every(func(tree *settings.Tree) time.Duration {
+		region.roller.Run(region.World, region.every(func(tree *settings.Tree) time.Duration {
 			if region.hurries(tree) {
-				return tick(tree)
+				return min(tick(tree), max(tick(tree)/8, region.due()))
 			}
 			return 2 * tick(tree)
 		}), region.guarded(region.roll))
 	})
 }
 
+// due is after which time a run of the region has something to do. The loop that turns
+// the runs alone asks it.
+func (region *region) due() time.Duration {
+	region.guard.Lock()
+	runner := region.runner
+	region.guard.Unlock()
+	if runner == nil {
+		return loop.Forever
+	}
+	return runner.Due()
+}
+
 // hurries tells whether an order under a term is under way here.
 func (region *region) hurries(tree *settings.Tree) bool {
 	region.guard.Lock()
@@ -131,9 +146,27 @@
 	return false
 }
 
-// every gives a loop's span as the settings have it at the time.
+// every gives a loop's span as the settings have it at the time, and a part of it right
+// after this daemon began anew: until a standing is written nobody keeps what data daemons
+// go by up to date.
 func (region *region) every(span func(tree *settings.Tree) time.Duration) func() time.Duration {
-	return func() time.Duration { return span(region.tree()) }
+	return func() time.Duration {
+		if region.isFresh() {
+			return min(span(region.tree()), region.tree().Span("dark_ms", region.name)/8)
+		}
+		return span(region.tree())
+	}
+}
+
+// isFresh tells whether this daemon has begun anew not long ago, may have had the duty
+// before, and has not written a standing under it yet.
+func (region *region) isFresh() bool {
+	if !region.Duties.IsBack || region.Table.Watched() > 3*region.span() {
+		return false
+	}
+	region.guard.Lock()
+	defer region.guard.Unlock()
+	return region.before == nil || region.before.Duty != region.duty
 }
 
 // guarded makes a step that runs only under the duty.
@@ -270,9 +303,13 @@
 		id, address string
 		engine      *settings.Engine
 	}
+	isFresh := region.isFresh()
 	region.guard.Lock()
 	var targets []target
 	for id, one := range region.table {
+		if isFresh && one.probed {
+			continue // those that did not answer yet are asked more often
+		}
 		targets = append(targets, target{one, id, one.Address, one.engine(tree)})
 	}
 	region.guard.Unlock()
@@ -462,7 +499,7 @@
 	}
 	input.Daemons, _ = region.daemons()
 	for _, model := range models {
-		if object, err := rollout.OpenModel(values[rollout.ModelPrefix+model]); err == nil {
+		if object, err := region.Objects.Open(values[rollout.ModelPrefix+model]); err == nil {
 			if route, known := object.Routes[region.name]; known {
 				input.Routes[model] = route
 			}
@@ -499,6 +536,9 @@
 		return
 	}
 	next.Serial = value.Serial
+	if region.hurries(tree) {
+		region.roller.Wake()
+	}
 	region.Log.Info("a standing was written", zap.String("region", region.name), zap.Uint64("serial", next.Serial), zap.String("changed", standing.Changed(*before, next)), zap.Strings("replicas", next.Shown()), zap.Duration("took", region.World.Now()-now))
 	region.keep(serial, &next, now, now)
 	region.tell(dropped(*before, next), next.Serial)
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -14,6 +14,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/tenant"
 )
 
 // Offer tells a holder that a configuration was decided, which it then fetches.
@@ -49,11 +50,27 @@
 	// Members have their uptimes as of told; they came, with their sum, at listed.
 	Members []session.Member
 	Expiry  time.Duration
-	sum     uint64
-	out     []string // the evacuated zones, as they were told
-	told    time.Duration
-	listed  time.Duration
-	texts   map[string]text // of the standings that came last, by region
+	// IsMoving tells that some standing has a version on trial, or one that was left and
+	// stands by.
+	IsMoving bool
+	sum      uint64
+	out      []string // the evacuated zones, as they were told
+	told     time.Duration
+	listed   time.Duration
+	texts    map[string]text // of the standings that came last, by region
+	// Placed are the tenants' placements as of their serial; nil before any came.
+	Placed       *tenant.Book
+	PlacedSerial uint64
+}
+
+// Placement is a tenant's; nil where there is none, and once the permit has ended: what
+// then may hold nobody knows, so two placements are in force for a permit's length at the
+// longest.
+func (view *View) Placement(name string, now time.Duration) *tenant.Placement {
+	if view.Placed == nil || !view.Stands(now) {
+		return nil
+	}
+	return view.Placed.Find(name)
 }
 
 // Config is the configuration as data daemons are told it, put together.
@@ -119,7 +136,9 @@
 func (holder *Holder) View() *View { return holder.view.Load() }
 
 // Run renews the permit until the world ends: each third of its length, and each
-// sixth while asks bring none, so that two in a row may go unheard.
+// sixth while asks bring none, so that two in a row may go unheard, or standings that
+// nobody keeps up to date, by which replicas count as cold; and while versions move, as a
+// run waits for every daemon to have seen that.
 func (holder *Holder) Run() {
 	holder.waker.Run(holder.World, func() time.Duration {
 		switch {
@@ -127,7 +146,7 @@
 			// Nothing is served until the first one; but where all begin at once, and
 			// there is none yet, they would only be in each other's way.
 			return min(holder.span()/18<<min(holder.fruitless.Load(), 8)/2, holder.span()/Renewals)
-		case holder.fruitless.Load() > 0:
+		case holder.fruitless.Load() > 0 || len(holder.View().Unkept) > 0, holder.View().IsMoving:
 			return holder.span() / 6
 		}
 		return holder.span() / Renewals
@@ -141,6 +160,18 @@
 	})
 }
 
+// moving tells whether versions move in any of the standings.
+func moving(standings map[string]standing.Standing) bool {
+	for _, one := range standings {
+		for _, row := range one.Rows {
+			if row.Trial || row.Back {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // relisted is after which time members are asked for anew even if they are the same,
 // as clocks part that uptimes are reckoned on by.
 const relisted = 30 * time.Second
@@ -159,7 +190,7 @@
 func (holder *Holder) Renew() bool {
 	asked := holder.World.Now()
 	have := holder.View()
-	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}}
+	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.PlacedSerial}
 	if asked-have.listed < relisted {
 		ask.Members = have.sum
 	}
@@ -248,7 +279,10 @@
 	for region, one := range next.Standings {
 		next.Standings[region] = holder.without(one)
 	}
-	next.told = holder.World.Now()
+	if book, isRead := OpenPlaced(grant.Placed); isRead && grant.PlacedSerial > have.PlacedSerial {
+		next.Placed, next.PlacedSerial = &book, grant.PlacedSerial
+	}
+	next.told, next.IsMoving = holder.World.Now(), moving(next.Standings)
 	next.enlist(have, grant)
 	next.Expiry = max(have.Expiry, asked+grant.Length)
 	holder.view.Store(&next)
@@ -350,9 +384,10 @@
 	}
 	trouble := errNotFetched
 	for _, base := range bases {
-		patience := holder.span() / 4
+		patience := holder.span() / 2
 		if base == 0 {
-			patience = holder.span() // as it may be long, and is not to be sent twice
+			// It may be long, and is not to be sent twice; if that is not enough, longer.
+			patience = holder.span() << min(holder.fruitless.Load(), 2)
 		}
 		reply, err := holder.Client.Ask("Permit.Fetch", Want{Serial: serial, Base: base}, func() any { return new(Edition) }, func(reply any) bool { return reply.(*Edition).Serial >= serial }, patience)
 		if err != nil {
--- a/session/share.go
+++ b/session/share.go
@@ -107,6 +107,9 @@
 	session.Age, session.Member.Uptime, session.Report.Permit = 0, 0, 0
 	keeps := session.Member.Keeps
 	session.Member.Keeps = nil
+	if session.Member.Role == Data {
+		session.Report.Tenants = nil // its control daemon tells the sum
+	}
 	if len(keeps) > 0 {
 		session.Member.Keeps = map[string]Keeping{}
 		for region, one := range keeps {
@@ -156,6 +159,9 @@
 func (table *Table) hear(one row, isFirstHand bool) {
 	if have := table.rows[one.Member.Name]; have.Member.Incarnation == one.Member.Incarnation {
 		one.slot, one.told, one.firstHand = have.slot, have.told, have.firstHand
+		if one.Report.Tenants == nil {
+			one.Report.Tenants = have.Report.Tenants // told once a window
+		}
 	}
 	if isFirstHand {
 		one.firstHand = max(one.firstHand, one.heard)
@@ -310,6 +316,9 @@
 		if !isNear {
 			session.Report.Near = standing.Wrong(session.Report.Near)
 		}
+		if session.Member.Role == Data {
+			session.Report.Tenants = nil
+		}
 		out.Sessions = append(out.Sessions, Content{slot, mark.Serial, session})
 	}
 	for _, one := range table.rows {
@@ -317,7 +326,7 @@
 			tell(one.slot, one.told, one.Session, now-one.heard)
 		}
 	}
-	self := Session{Member: table.self()}
+	self := table.word()
 	table.own = table.next(table.own, self, now)
 	tell(0, table.own, self, 0)
 	sort.Slice(out.Marks, func(a, b int) bool { return out.Marks[a].Slot < out.Marks[b].Slot })
