A configuration alone writes no standing anew

Cause: a standing bore the configuration's serial, so that each change of the configuration rewrote every region's (36 of 78 in 24 s of trouble on the grown first site), though nothing read it: neither daemons, roll-outs nor operators wait for it, and what changes rows changes the standing by itself. TestStandingStaysOverConfigurations.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -472,14 +472,14 @@
 	if !seeded || region.unprobed(tree) {
 		return
 	}
-	config, whole, _ := region.Office.Current()
+	_, whole, _ := region.Office.Current()
 	evacuated := map[string]bool{}
 	for _, zone := range whole.Evacuated {
 		evacuated[zone] = true
 	}
 	region.handedBack(tree, evacuated)
 	input := standing.Input{
-		Region: region.name, Tree: tree, Config: config, Duty: serial, Evacuated: evacuated, Replicas: region.rows(tree),
+		Region: region.name, Tree: tree, Duty: serial, Evacuated: evacuated, Replicas: region.rows(tree),
 		Gone: region.Table.Gone(), Routes: map[string]standing.Route{}, Before: before, Since: now - written,
 	}
 	input.Daemons, _ = region.daemons()
--- a/fleet/heavy_test.go
+++ b/fleet/heavy_test.go
@@ -120,3 +120,36 @@
 		t.Errorf("control traffic: %d bytes of shares between regions in 4 s after a cut, %d in calm", healed, calm)
 	}
 }
+
+// TestStandingStaysOverConfigurations: a configuration that changes nothing of what a
+// region's replicas may get writes no standing anew, for nobody is told one then.
+func TestStandingStaysOverConfigurations(t *testing.T) {
+	park := apart(3, grown(12, 36, 3))
+	defer park.Close()
+	serials := func() map[string]uint64 {
+		out := map[string]uint64{}
+		for region, one := range park.Datas["d1"].Holder.View().Standings {
+			out[region] = one.Serial
+		}
+		return out
+	}
+	before := serials()
+	for label := uint64(1); label <= 4; label++ {
+		if _, err := replace(park, "c1", manyRoutes(park.Document, label, 20), label-1); err != nil {
+			t.Fatal(err)
+		}
+		park.Run(time.Second)
+	}
+	park.Run(2 * time.Second)
+	if after := serials(); len(before) != 3 || !maps.Equal(before, after) {
+		t.Errorf("control traffic: standings went from %v to %v over four configurations", before, after)
+	}
+	if label := park.Datas["d1"].Holder.View().Config().Label(); label != 4 {
+		t.Errorf("vacuous: it goes by the configuration %d", label)
+	}
+	park.LeaveByPlatform(park.Plan.Replicas[0].ID)
+	park.Run(3 * time.Second)
+	if maps.Equal(before, serials()) {
+		t.Error("vacuous: nothing writes a standing")
+	}
+}
--- a/standing/deal.go
+++ b/standing/deal.go
@@ -267,8 +267,6 @@
 // the next computation; nothing if they say the same.
 func Changed(a, b Standing) string {
 	switch {
-	case a.Config != b.Config:
-		return "configuration"
 	case a.Duty != b.Duty:
 		return "duty"
 	case a.Daemons != b.Daemons:
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -213,7 +213,6 @@
 	Region string
 	Serial uint64 // of the register that holds it
 	Duty   uint64 // serial of the duty that wrote it
-	Config uint64
 	// Daemons is how many data daemons there are that may send here. One that is not
 	// heard of counts for a while, as what it may send can't be known.
 	Daemons int
@@ -246,7 +245,6 @@
 type Input struct {
 	Region    string
 	Tree      *settings.Tree
-	Config    uint64
 	Duty      uint64
 	Evacuated map[string]bool
 	Replicas  []Replica
@@ -261,7 +259,7 @@
 
 // Compute makes the region's next standing.
 func Compute(input Input) Standing {
-	out := Standing{Region: input.Region, Duty: input.Duty, Config: input.Config, Daemons: len(input.Daemons)}
+	out := Standing{Region: input.Region, Duty: input.Duty, Daemons: len(input.Daemons)}
 	if input.Before != nil && input.Since < missed {
 		out.Daemons = max(out.Daemons, input.Before.Daemons)
 	}
