Only regions with an order under a term are computed anew at each write of a route

Ruled out: beats and renewals that hurry (taken out, still red); that a slow replica with too few answers loses its mark (kept it, still red; reverted).

--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -115,12 +115,19 @@
 	return daemon, nil
 }
 
-// moved makes the regions' standings show at once what was written of a model's routes.
+// moved makes the regions' standings show at once what was written of a model's routes,
+// where an order under a term is under way.
 func (daemon *Daemon) moved() {
+	_, _, tree := daemon.Office.Current()
+	if tree == nil {
+		return
+	}
 	daemon.guard.Lock()
 	defer daemon.guard.Unlock()
 	for _, region := range daemon.regions {
-		region.computer.Wake()
+		if region.hurries(tree) {
+			region.computer.Wake()
+		}
 	}
 }
 
