--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -281,8 +281,6 @@
 	world.Go(daemon.Duties.Run)
 	world.Go(daemon.watchConfig)
 	world.Go(daemon.janitor)
-	world.Go(daemon.tellTenants)
-	world.Go(daemon.watchTenants)
 	world.Go(daemon.tend)
 	if daemon.Acceptor != nil {
 		world.Go(daemon.repair)
@@ -316,6 +314,7 @@
 			for _, name := range tree.Regions() {
 				daemon.ensure(name)
 			}
+			daemon.attendTenants()
 		}
 		return !daemon.stopped.Load()
 	})
