--- a/decide/decide.go
+++ b/decide/decide.go
@@ -135,7 +135,9 @@
 	tickets tickets
 	// engines are this daemon's knowledge of replicas, by id, for routed requests;
 	// readRate is how fast they read prompts, zero until learned.
-	engines  map[string]*engine
+	engines map[string]*engine
+	// reached is when anything last came from a replica of a region.
+	reached  map[string]time.Duration
 	readRate float64
 	// base is what the first piece takes whatever the prompt, as learned.
 	base time.Duration
@@ -156,7 +158,7 @@
 
 // New makes a decider.
 func New(options Options) *Decider {
-	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, repeats: map[string]*budget{}}
+	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, reached: map[string]time.Duration{}, repeats: map[string]*budget{}}
 	decider.counts.Declined = map[string]uint64{}
 	decider.window.totals = map[standing.Outcome]standing.Outcome{}
 	decider.tickets.init()
--- a/decide/route.go
+++ b/decide/route.go
@@ -583,7 +583,7 @@
 		Replica: best.row.Replica, Address: best.place.Address, Version: best.row.Version, Boot: best.place.Boot, Region: best.place.Region,
 		Serial: view.Serial, Cost: 1, Trial: best.row.Trial, Spill: best.place.Region != decider.Self.Region, call: &routed.call,
 		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat, isCold: best.place.Warm < 1,
-		Vouched: seat.vouched,
+		Vouched: decider.vouchedAt(best),
 	}
 	seat.running++
 	seat.region, seat.model, seat.vitals.asked = best.place.Region, best.row.Model, now
@@ -608,7 +608,7 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
-	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	decider.vouch(seat, now)
 	if seat.waits > 0 {
 		seat.silent = now
 	}
@@ -685,8 +685,22 @@
 	now := decider.World.Now()
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
-	seat := selection.seat
+	decider.vouch(selection.seat, now)
+}
+
+// vouch notes that the replica showed that it is alive, and its region that it is reached.
+func (decider *Decider) vouch(seat *engine, now time.Duration) {
 	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	decider.reached[seat.region] = now
+}
+
+// vouchedAt is when a replica last showed that it is alive; of one in another region, when
+// anything came from there, as it is the way that is lost then.
+func (decider *Decider) vouchedAt(one *prospect) time.Duration {
+	if one.place.Region != decider.Self.Region {
+		return decider.reached[one.place.Region]
+	}
+	return one.seat.vouched
 }
 
 // silence is how long a replica may say nothing at all while something is to come from
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -52,8 +52,10 @@
 	// muteTimes is how many times overdue a request must be at a replica that answers
 	// others.
 	muteTimes = 2
-	// vouchedSpan is for how long a replica that was alive is taken to be so.
+	// vouchedSpan is for how long a replica that was alive is taken to be so, vouchedFar for
+	// how long another region that was reached.
 	vouchedSpan = 100 * time.Millisecond
+	vouchedFar  = 250 * time.Millisecond
 	// declinedSpan is when a request is worth another try that a replica turned away.
 	declinedSpan = 75 * time.Millisecond
 	// gapTimes is how many of the longest timely pauses a resumable stream waits for its
@@ -107,12 +109,15 @@
 		ask.Left, ask.Urgency, ask.Version = routed.Expiry-now, routed.Route.Urgency, ""
 		ask.Once = !routed.Route.Repeatable()
 		ask.Bind, ask.Connect, ask.Unheard = passage.leaver.Bind, connectSpan, unheardSpan
+		span := vouchedSpan
 		if selection.Spill {
 			ask.Connect *= 3
+			span = vouchedFar
 		}
-		// What may not be sent again is lost where the replica has just gone; a new
-		// connection finds that out first, and costs little within the region.
-		ask.Anew = ask.Once && !selection.Spill && now-selection.Vouched > vouchedSpan
+		// What may not be sent again is lost where the replica has just gone, or the way to
+		// its region; a new connection finds that out first. It costs little within the
+		// region, and to another is asked for only where nothing comes from there at all.
+		ask.Anew = ask.Once && now-selection.Vouched > span
 		ask.Gate = func() *verdict.Mishap {
 			_, mishap := executor.Decider.Gate(selection)
 			return mishap
