What a replica of a former life turned away counts as a repeat when it is sent on

Many replicas had begun anew at their addresses; a request to one that has is answered 421, and was sent on up to three times without drawing on the budget, as if it had not arrived. Ruled out: callers' further tries, which are new requests; a budget for each daemon, whose shares add up to the whole.

TestArrivalsAtFormerLives: a fifth of the requests at the most. Who is declined for it is told when to come back.

--- a/execute/relay.go
+++ b/execute/relay.go
@@ -83,7 +83,7 @@
 		if mishap.Verdict == verdict.NotRun && doubt != nil {
 			return doubt
 		}
-		if mishap.Code == "replica_declined" && mishap.ComeBack == 0 {
+		if (mishap.Code == "replica_declined" || mishap.Code == replica.AnewCode) && mishap.ComeBack == 0 {
 			// The caller's own further try goes elsewhere.
 			again := *mishap
 			again.ComeBack = declinedSpan
@@ -152,9 +152,10 @@
 		case "no_permit":
 			return ended(mishap)
 		case replica.AnewCode, "replica_unreached":
-			// Nothing ran and, but for one of a former life, nothing arrived.
+			// Nothing ran and, but for one of a former life, nothing arrived. What did is one
+			// more arrival there, and the next one a repeat as any other.
 			passage.avoid[selection.Replica] = true
-			if passage.missed++; passage.missed >= mostMissed {
+			if passage.missed++; passage.missed >= mostMissed || mishap.Code == replica.AnewCode && !executor.Decider.Repeat(routed) {
 				return ended(mishap)
 			}
 			continue
--- a/execute/relay_test.go
+++ b/execute/relay_test.go
@@ -76,6 +76,32 @@
 // answered stands for no mishap at all.
 const answered = verdict.Verdict(99)
 
+// stage is a data daemon with so many replicas, and demand that pays for twenty repeats.
+func stage(t *testing.T, replicas int) (loop.World, *decide.Decider, func() *permit.View) {
+	t.Helper()
+	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":64}}},"engines":{"m":{"probe_path":"/vitals","berths":64}},
+ "routes":[{"name":"r","host":"h.example","prefix":"/resumed/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"tries":3,"resume":true,"shares":[{"model":"m","weight":1}]},
+  {"name":"o","host":"h.example","prefix":"/once/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"tries":3,"shares":[{"model":"m","weight":1}]}],
+ "regions":{"a":{"zones":{"a-1":{}}}}}`))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	place := standing.Standing{Region: "a"}
+	for index := range replicas {
+		id := fmt.Sprint("i-", index)
+		place.Places = append(place.Places, standing.Place{ID: id, Address: id, Zone: "a-1", Region: "a", Boot: id, Capacity: 64, Whole: 64, Warm: 1})
+		place.Rows = append(place.Rows, standing.Row{Replica: id, Model: "m", Version: "v1"})
+	}
+	view := &permit.View{Serial: 1, Tree: tree, Expiry: loop.Forever, Evacuated: map[string]bool{}, Standings: map[string]standing.Standing{"a": place}}
+	world := loop.NewMachine()
+	holder := func() *permit.View { return view }
+	decider := decide.New(decide.Options{World: world, Holder: holder, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
+	for range 100 {
+		_ = decider.Direct(&decide.Routed{Host: "h.example", Path: "/once/x", Expiry: world.Now() + time.Minute})
+	}
+	return world, decider, holder
+}
+
 // TestPassages: what a caller is told of a routed request, by what its dispatches met.
 func TestPassages(t *testing.T) {
 	cut := &verdict.Mishap{Verdict: verdict.MayHaveRun, Code: "replica_cut", Status: 502}
@@ -108,28 +134,9 @@
 		{"failed and not to be repeated", "/once/", []*reply{{status: 500}}, answered, 500, "", false, []string{""}},
 	} {
 		t.Run(one.name, func(t *testing.T) {
-			tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":64}}},"engines":{"m":{"probe_path":"/vitals","berths":64}},
- "routes":[{"name":"r","host":"h.example","prefix":"/resumed/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"tries":3,"resume":true,"shares":[{"model":"m","weight":1}]},
-  {"name":"o","host":"h.example","prefix":"/once/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"tries":3,"shares":[{"model":"m","weight":1}]}],
- "regions":{"a":{"zones":{"a-1":{}}}}}`))
-			if len(problems) > 0 {
-				t.Fatal(problems)
-			}
-			place := standing.Standing{Region: "a"}
-			for index := range 9 {
-				id := fmt.Sprint("i-", index)
-				place.Places = append(place.Places, standing.Place{ID: id, Address: id, Zone: "a-1", Region: "a", Boot: id, Capacity: 64, Whole: 64, Warm: 1})
-				place.Rows = append(place.Rows, standing.Row{Replica: id, Model: "m", Version: "v1"})
-			}
-			view := &permit.View{Serial: 1, Tree: tree, Expiry: loop.Forever, Evacuated: map[string]bool{}, Standings: map[string]standing.Standing{"a": place}}
-			world := loop.NewMachine()
-			decider := decide.New(decide.Options{World: world, Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
-			// Demand that pays for repeats.
-			for range 100 {
-				_ = decider.Direct(&decide.Routed{Host: "h.example", Path: "/once/x", Expiry: world.Now() + time.Minute})
-			}
+			world, decider, holder := stage(t, 9)
 			script := &scripted{replies: one.replies, replicas: map[string]int{}}
-			executor := &execute.Executor{Options: execute.Options{World: world, Decider: decider, Relayer: script, Holder: func() *permit.View { return view }}}
+			executor := &execute.Executor{Options: execute.Options{World: world, Decider: decider, Relayer: script, Holder: holder}}
 			routed := &decide.Routed{ID: "q", Host: "h.example", Path: one.path + "x", Expiry: world.Now() + time.Minute}
 			if mishap := decider.Direct(routed); mishap != nil {
 				t.Fatal(mishap.Code)
@@ -165,3 +172,27 @@
 		})
 	}
 }
+
+// TestArrivalsAtFormerLives: a request that a replica turns away, as it has begun another
+// life, arrived there all the same; what is sent on then draws on the budget of repeats.
+func TestArrivalsAtFormerLives(t *testing.T) {
+	const asked, paid = 100, 20
+	world, decider, holder := stage(t, 1000)
+	anew := &verdict.Mishap{Verdict: verdict.NotRun, Code: replica.AnewCode, Status: 503}
+	script := &scripted{replies: []*reply{{mishap: anew}}, replicas: map[string]int{}}
+	executor := &execute.Executor{Options: execute.Options{World: world, Decider: decider, Relayer: script, Holder: holder}}
+	for index := range asked {
+		routed := &decide.Routed{ID: fmt.Sprint("q", index), Host: "h.example", Path: "/once/x", Expiry: world.Now() + time.Minute}
+		if mishap := decider.Direct(routed); mishap != nil {
+			t.Fatal(mishap.Code)
+		}
+		_, mishap := executor.Relay(routed, replica.Ask{}, &execute.Leaver{})
+		if mishap == nil || mishap.Verdict != verdict.NotRun || mishap.ComeBack <= 0 {
+			t.Fatalf("told %+v", mishap)
+		}
+	}
+	// A fifth of these and of those before.
+	if again := len(script.after) - asked; again > paid+asked/5 || again < paid {
+		t.Errorf("retries: %d of %d arrivals are repeats, for %d requests", again, len(script.after), 5*paid+asked)
+	}
+}
