--- a/register/read_test.go
+++ b/register/read_test.go
@@ -270,3 +270,25 @@
 		t.Error("too slow")
 	}
 }
+
+// TestSumsNameOneValue: an acceptor takes a change by its sum only if it holds that very
+// value; who asked is told to send it whole.
+func TestSumsNameOneValue(t *testing.T) {
+	Convey("a sum of another value changes nothing", t, func() {
+		bench := newBench(11)
+		defer bench.Close()
+		core := bench.core("a", "b", "c")
+		held := []byte(strings.Repeat("held ", 200))
+		bench.do("a", 10*time.Second, func(keeper *register.Keeper) { _, _ = keeper.Swap("k", 0, held) })
+		bench.Run(time.Second)
+		var vote register.Vote
+		ask := register.Ask{Epoch: core.Epoch, Key: "k", Ballot: register.Ballot{Epoch: core.Epoch, Round: 99, Proposer: "p"}, Sum: register.Sum{1}}
+		bench.do("b", time.Second, func(*register.Keeper) { _ = bench.acceptors["b"].Accept(ask, &vote) })
+		if vote.Kind != register.Lacking {
+			t.Errorf("not linear: a value was taken by the sum of another: %d", vote.Kind)
+		}
+		value, err := bench.read("c", "k")
+		So(err, ShouldBeNil)
+		So(string(value.Data), ShouldEqual, string(held))
+	})
+}
