Leaving: faults take a replica that is in use; the standing alone proven without notices

Now those faults (and the ends that can't be written) take the replica of the zone that got most requests of late, the checker judges only lives that were in use, and TestLeavingUntold loses all notices, or starts data daemons after them, so that the standing alone holds.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -265,14 +265,25 @@
 }
 
 // leaving: a life of a replica gets nothing from the bound on, counted from when
-// the first daemon learned that it ends. Judged: lives that stood on past it.
+// the first daemon learned that it ends. Judged: lives that stood on past it, and were in
+// use when that was learned.
 func leaving(park *Park, _ Facts) (all []Broken, judged int) {
 	for _, one := range park.Arrivals {
 		if since, known := park.Learned[one.Replica+"/"+one.Boot]; known && one.Sent > since+LeavingBound {
 			all = append(all, Broken{"leaving", one.At, fmt.Sprintf("%s (%s) got %s by %s, known to be leaving since %v", one.Replica, one.Boot, one.ID, one.Daemon, since)})
 		}
 	}
+	isUsed := map[string]bool{}
+	for _, one := range park.Arrivals {
+		life := one.Replica + "/" + one.Boot
+		if since, known := park.Learned[life]; known && one.Sent > since-lateSpan && one.Sent <= since+LeavingBound {
+			isUsed[life] = true
+		}
+	}
 	for life, since := range park.Learned {
+		if !isUsed[life] {
+			continue
+		}
 		for _, one := range append(append([]*Replica{}, park.past...), park.stands()...) {
 			ended := park.Now()
 			if one.Gone > 0 {
--- a/fleet/faults.go
+++ b/fleet/faults.go
@@ -528,13 +528,13 @@
 		park.Run(8 * time.Second)
 	}, nil},
 	{"replica lingers, known by the list only", true, func(park *Park, facts *Facts) {
-		one := park.Plan.Replicas[0]
+		one := park.Used()
 		park.LeaveByPlatform(one.ID)
 		park.Run(park.Lag + 14*time.Second)
 		park.swap(one)
 	}, []string{"leaving", "lost"}},
 	{"replica lingers, known by its probes only", true, func(park *Park, facts *Facts) {
-		one := park.Plan.Replicas[0]
+		one := park.Used()
 		park.Replicas[one.ID].Lingers = true
 		park.Replicas[one.ID].Leave()
 		park.Run(14 * time.Second)
@@ -542,7 +542,7 @@
 	}, []string{"leaving", "lost"}},
 	{"replica lingers and whoever knows of it dies", false, func(park *Park, facts *Facts) {
 		// Its word gets to one daemon, once, by the list.
-		one := park.Plan.Replicas[0]
+		one := park.Used()
 		park.LeaveByPlatform(one.ID)
 		key := one.ID + "/" + park.Replicas[one.ID].Boot
 		for spent := time.Duration(0); spent < 10*time.Second && park.Learned[key] == 0; spent += 2 * time.Millisecond {
@@ -941,10 +941,31 @@
 	}, []string{"fallback", "flooded", "retries"}},
 }
 
+// Used is the replica of the first one's zone that got most requests of late: one that
+// gets none anyway proves nothing by getting none.
+func (park *Park) Used() ReplicaOptions {
+	counts := map[string]int{}
+	for _, one := range park.Arrivals {
+		if one.Sent > park.Now()-lateSpan {
+			counts[one.Replica]++
+		}
+	}
+	best := park.Plan.Replicas[0]
+	for _, one := range park.Plan.Replicas {
+		if one.Zone == best.Zone && counts[one.ID] > counts[best.ID] {
+			best = one
+		}
+	}
+	return best
+}
+
+// lateSpan is how far back what a replica got of late reaches.
+const lateSpan = 5 * time.Second
+
 // endUnwritten has a replica's end learned by a duty's holder that can't write it,
 // from the loss until longer than the bound.
 func (park *Park) endUnwritten(facts *Facts, loss, back func()) {
-	one := park.Plan.Replicas[0]
+	one := park.Used()
 	key := one.ID + "/" + park.Replicas[one.ID].Boot
 	loss()
 	park.Replicas[one.ID].Lingers = true
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -1,12 +1,14 @@
 package fleet_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"swifttiller/fleet"
+	"swifttiller/sim"
 	"swifttiller/standing"
 )
 
@@ -137,3 +139,50 @@
 		t.Errorf("longer than %v", bound)
 	}
 }
+
+// TestLeavingUntold: where no notice reaches a data daemon, and where one begins after all
+// notices, the region's standing alone keeps it from a replica that is to end, whether the
+// platform's list or the replica's own probes say so.
+func TestLeavingUntold(t *testing.T) {
+	skipLong(t)
+	for name, leave := range map[string]func(park *fleet.Park, id string){
+		"by the list":   func(park *fleet.Park, id string) { park.LeaveByPlatform(id) },
+		"by its probes": func(park *fleet.Park, id string) { park.Replicas[id].Leave() },
+	} {
+		for _, isLost := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, notices lost: %v", name, isLost), func(t *testing.T) {
+				t.Parallel()
+				park := fleet.NewPark(3, fleet.Sahayogi())
+				defer park.Close()
+				park.Run(warm)
+				facts := park.Begin()
+				if isLost {
+					park.OnCall = func(_, _, method string) sim.Fate {
+						if method == "Permit.Heed" {
+							return sim.IsLost
+						}
+						return sim.Passes
+					}
+				}
+				one := park.Used().ID
+				park.Replicas[one].Lingers = true
+				leave(park, one)
+				if !isLost {
+					park.Run(4 * time.Second) // all are told
+					for _, daemon := range []string{"d1", "d2"} {
+						park.Crash(daemon)
+						park.StartData(daemon)
+					}
+				}
+				park.Run(12 * time.Second)
+				park.Quiet = true
+				park.Run(4 * time.Second)
+				broken, judged := fleet.Check(park, facts)
+				if judged["leaving"] == 0 {
+					t.Error("vacuous: the replica was not in use, or did not linger")
+				}
+				show(t, 3, broken)
+			})
+		}
+	}
+}
