A data daemon that begins after a change goes by it: proven where its control daemon is last to know

Cause: fallback-grant-by-hearsay survived, as a data daemon that is offered a change fetches it from its control daemon, which so reads the configuration before any other asks it; the fault's fresh daemons met such ones.

--- a/fleet/replace_test.go
+++ b/fleet/replace_test.go
@@ -442,3 +442,36 @@
 func wait(daemon *controlplane.Daemon, span time.Duration) {
 	daemon.World.(*sim.Node).Mailbox().Take(span)
 }
+
+// TestBegunGoesByTheNewest: a data daemon that begins right after a change was acknowledged
+// goes by that change from its first permit on, also where the control daemon that it asks
+// has not heard of it: no other data daemon fetches there, and it reads the configuration by
+// itself only now and then.
+func TestBegunGoesByTheNewest(t *testing.T) {
+	unknown := 0
+	for seed := uint64(1); seed <= 6; seed++ {
+		park := ordering(seed)
+		park.Run(time.Duration(seed) * 97 * time.Millisecond)
+		applied, err := replace(park, "c3", labelled(park, 1, "a"), 0)
+		if err != nil {
+			t.Fatal(seed, err)
+		}
+		park.Place("late", park.Zone("c1"))
+		park.StartData("late")
+		if serial, _, _ := park.Controls["c1"].Office.Current(); serial < applied.Serial {
+			unknown++
+		}
+		park.Run(time.Millisecond)
+		view := park.Datas["late"].Holder.View
+		for spent := time.Duration(0); spent < 2*time.Second && view().Serial == 0; spent += time.Millisecond {
+			park.Run(time.Millisecond)
+		}
+		if view().Serial < applied.Serial {
+			t.Errorf("fallback: seed %d: it begins under serial %d, after %d was acknowledged", seed, view().Serial, applied.Serial)
+		}
+		park.Close()
+	}
+	if unknown < 3 {
+		t.Errorf("vacuous: c1 knew of the change in %d of 6 runs", 6-unknown)
+	}
+}
