--- a/fleet/checker_test.go
+++ b/fleet/checker_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -160,6 +161,38 @@
 	}
 }
 
+// TestFullLossOfAHolder: what a daemon that does not come back did before all machines were
+// lost, another takes up soon after the rest are back. What was their own before they began
+// anew they take back at once, so only such a duty is waited for.
+func TestFullLossOfAHolder(t *testing.T) {
+	skipLong(t)
+	for name, plan := range fleet.Plans {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			park := fleet.NewPark(8, plan())
+			defer park.Close()
+			park.Run(warm)
+			region := park.Regions()[0]
+			gone := park.Holder(region)
+			ends := park.Lose(park.Names())
+			park.Run(3 * time.Second)
+			park.Return(slices.DeleteFunc(ends, func(name string) bool { return name == gone }))
+			back := park.Now()
+			if !park.Until(25*time.Second, func() bool { return park.Holder(region) != "" && park.Ready() }) {
+				t.Fatalf("recovery: %s's replicas are never used again", region)
+			}
+			took := park.Now() - back
+			t.Logf("%s held %s; all replicas are known everywhere %v after the others' return", gone, region, took)
+			if took > 8*time.Second {
+				t.Errorf("recovery: %s's replicas are known everywhere only %v after the return", region, took)
+			}
+			park.Quiet = true
+			park.Run(12 * time.Second)
+			clean(t, park, begun(park, false))
+		})
+	}
+}
+
 func TestEvacuationDuringRollout(t *testing.T) {
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
