Bad versions: one that fails after its move while no core disk writes

Cause: bad-nobody-goes-back survived, as without a majority permits lapse within 2 s, before the bound of 5 s, so whether daemons go back by their own counts made no difference there.

--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -171,6 +171,17 @@
 		park.Run(9 * time.Second)
 		park.Return(ends)
 	}},
+	// Permits stand meanwhile, as reading waits for no disk, and nobody can write a route.
+	{name: "errors after the move, and no core disk writes", after: true, plainly: func(park *fleet.Park) {
+		slow := func(span time.Duration) {
+			for _, name := range []string{"c1", "c2", "c3"} {
+				park.Node(name).Disk.Slow = span
+			}
+		}
+		slow(5 * time.Second)
+		park.Run(9 * time.Second)
+		slow(0)
+	}},
 }
 
 func killRunner(park *fleet.Park) {
