--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -93,7 +93,7 @@
 	}
 	t.Logf("the last daemon goes by a leaving replica until %v after it is listed, %v where asks go unanswered", calm, harmed)
 	if bound := listEvery*11/10 + 400*time.Millisecond; calm > bound || harmed > bound {
-		t.Errorf("later than %v", bound)
+		t.Errorf("leaving: later than %v", bound)
 	}
 }
 
--- a/fleet/repeated_test.go
+++ b/fleet/repeated_test.go
@@ -44,11 +44,11 @@
 				park.Run(time.Duration(turn+1)*time.Second - (park.Now() - began))
 			}
 			if acknowledged == 0 || acknowledged-began > length+300*time.Millisecond {
-				t.Errorf("seed %d: acknowledged %v after the first try; permits are over after %v", seed, acknowledged-began, length)
+				t.Errorf("order: seed %d: acknowledged %v after the first try; permits are over after %v", seed, acknowledged-began, length)
 			}
 			if isCut {
 				if view := park.Datas[lost].Holder.View(); acknowledged < view.Expiry {
-					t.Errorf("seed %d: acknowledged at %v, but a daemon that was cut off served under the configuration before until %v", seed, acknowledged, view.Expiry)
+					t.Errorf("order: seed %d: acknowledged at %v, but a daemon that was cut off served under the configuration before until %v", seed, acknowledged, view.Expiry)
 				}
 			}
 			park.Close()
--- a/fleet/tender_test.go
+++ b/fleet/tender_test.go
@@ -242,7 +242,7 @@
 				}
 				park.Run(2 * catchUp)
 				if now := core(park); len(now.Members) != votes {
-					t.Errorf("seed %d: after %d replacements the core has %d votes, not %d", seed, turn+1, len(now.Members), votes)
+					t.Errorf("dead vote: seed %d: after %d replacements the core has %d votes, not %d", seed, turn+1, len(now.Members), votes)
 				}
 			}
 			if read := serial(park, "f2-"+fmt.Sprint(votes)); read != acknowledged {
--- a/register/read_test.go
+++ b/register/read_test.go
@@ -267,7 +267,7 @@
 	}
 	t.Logf("the slowest read took %v, the slowest write %v, %d failed", worst, slowest, failed)
 	if worst > 900*time.Millisecond || slowest > 700*time.Millisecond || failed > 0 {
-		t.Error("too slow")
+		t.Error("outvoted: too slow, or some failed")
 	}
 }
 
--- a/tenant/tenant_test.go
+++ b/tenant/tenant_test.go
@@ -315,7 +315,7 @@
 		day.run(30)
 	}
 	if len(day.notices) > 0 {
-		t.Errorf("%d false alarms, the first at %v: %+v", len(day.notices), day.at[0], day.notices[0])
+		t.Errorf("placed: %d false alarms, the first at %v: %+v", len(day.notices), day.at[0], day.notices[0])
 	}
 	day.silent = map[string]bool{"b": true}
 	day.run(60)
