Records of an acceptor's log are lines of JSON: a start reads them sooner

Each record was a gob stream of its own that described its types anew: 352 allocations and 95 us to read, 28 us to write for every promise and vote.

Ruled out: inits of packages (8 ms of processor time in all), syncs (none at a reopening).

Now a line of JSON and the data as they are: 25 allocations in TestLogsAreReadCheaply where 359 were, 13 us to read and 3 us to write in a benchmark; records from before are still read (TestLogsFromBeforeAreRead).

--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/gob"
+	"encoding/json"
 	"fmt"
 	"sort"
 	"strings"
@@ -134,8 +135,37 @@
 type record struct {
 	Key    string
 	Cell   Cell
-	Whole  *state
-	before Cell // the cell that this one replaces; not written
+	Whole  *state `json:",omitempty"`
+	before Cell   // the cell that this one replaces; not written
+}
+
+// pack is the record as it stands in the log: a line of JSON without the cell's data, and
+// the data as they are. Each record stands by itself, and gob would describe its types in
+// each anew: that is dear to read, and a start after a power cut reads hundreds of records
+// before anybody serves.
+func (one record) pack() []byte {
+	data := one.Cell.Value.Data
+	one.Cell.Value.Data = nil
+	head, err := json.Marshal(one)
+	if err != nil {
+		panic(err) // only our own types come here
+	}
+	return append(append(head, '\n'), data...)
+}
+
+// unpack reads what pack wrote, or what was written before records had lines of JSON.
+func (one *record) unpack(data []byte) error {
+	if len(data) > 0 && data[0] != '{' {
+		return decode(data, one)
+	}
+	head, tail, _ := bytes.Cut(data, []byte("\n"))
+	if err := json.Unmarshal(head, one); err != nil {
+		return err
+	}
+	if len(tail) > 0 {
+		one.Cell.Value.Data = tail
+	}
+	return nil
 }
 
 // Acceptor is one vote of the core.
@@ -210,7 +240,7 @@
 	}
 	for _, data := range records {
 		var one record
-		if err := decode(data, &one); err != nil {
+		if err := one.unpack(data); err != nil {
 			return nil, &disk.Corrupt{File: "log", Reason: err.Error()}
 		}
 		if one.Whole != nil {
@@ -250,7 +280,7 @@
 	one := step(&acceptor.state)
 	var data []byte
 	if one != nil {
-		data = encode(one)
+		data = one.pack()
 		acceptor.begin(one)
 	}
 	wait := acceptor.store.Enqueue(data)
--- /dev/null
+++ b/register/record_test.go
@@ -0,0 +1,77 @@
+package register_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"swifttiller/disk"
+	"swifttiller/register"
+	"swifttiller/sim"
+)
+
+func TestLogsAreReadCheaply(t *testing.T) {
+	Convey("an acceptor with hundreds of records in its log is back at little cost for each", t, func() {
+		const records = 400
+		bench := newBench(1)
+		defer bench.Close()
+		bench.logBytes = 1 << 20
+		bench.core("a")
+		bench.write("a", records/2, "k") // a promise and a vote each
+		bench.Kill("a")
+		var before, after runtime.MemStats
+		bench.Start("a", func(node *sim.Node) {
+			runtime.ReadMemStats(&before)
+			_, bench.troubles["a"] = register.OpenAcceptor(disk.Options{World: node, Folder: node.Disk, LogBytes: 1 << 20}, "unused")
+			runtime.ReadMemStats(&after)
+		})
+		bench.Run(time.Millisecond)
+		So(bench.troubles["a"], ShouldBeNil)
+		each := float64(after.Mallocs-before.Mallocs) / records
+		t.Logf("%.0f allocations a record", each)
+		So(each, ShouldBeBetween, 5, 100)
+	})
+}
+
+func TestLogsFromBeforeAreRead(t *testing.T) {
+	Convey("records from before they were JSON are read as well", t, func() {
+		bench := newBench(1)
+		defer bench.Close()
+		bench.logBytes = 1 << 20
+		core := bench.core("a")
+		bench.write("a", 1, "k")
+		bench.Kill("a")
+		bench.Start("a", func(node *sim.Node) {
+			store, _, _, _, err := disk.Open(disk.Options{World: node, Folder: node.Disk, LogBytes: 1 << 20})
+			if err != nil {
+				panic(err)
+			}
+			ballot := register.Ballot{Epoch: core.Epoch, Round: 99, Proposer: "z"}
+			var body bytes.Buffer
+			if err := gob.NewEncoder(&body).Encode(struct {
+				Key  string
+				Cell register.Cell
+			}{"l", register.Cell{Promised: ballot, Accepted: ballot, Value: register.Value{Serial: 7, Data: []byte("old")}}}); err != nil {
+				panic(err)
+			}
+			if err := store.Enqueue(body.Bytes())(); err != nil {
+				panic(err)
+			}
+		})
+		bench.Run(100 * time.Millisecond)
+		bench.Kill("a")
+		bench.start("a", core)
+		So(bench.troubles["a"], ShouldBeNil)
+		read := ""
+		bench.do("a", 5*time.Second, func(keeper *register.Keeper) {
+			values, err := keeper.ReadMany("k", "l")
+			read = fmt.Sprintf("%s %s %v", values["k"].Data, values["l"].Data, err)
+		})
+		So(read, ShouldEqual, "v old <nil>")
+	})
+}
--- a/register/register_test.go
+++ b/register/register_test.go
@@ -33,17 +33,18 @@
 	acceptors map[string]*register.Acceptor
 	troubles  map[string]error
 	lives     int
+	logBytes  int
 }
 
 func newBench(seed uint64) *bench {
-	return &bench{Sim: sim.New(seed), keepers: map[string]*register.Keeper{}, acceptors: map[string]*register.Acceptor{}, troubles: map[string]error{}}
+	return &bench{Sim: sim.New(seed), keepers: map[string]*register.Keeper{}, acceptors: map[string]*register.Acceptor{}, troubles: map[string]error{}, logBytes: 4000}
 }
 
 func (bench *bench) start(name string, core register.Core) {
 	bench.lives++
 	life := bench.lives
 	bench.Start(name, func(node *sim.Node) {
-		acceptor, err := register.OpenAcceptor(disk.Options{World: node, Folder: node.Disk, LogBytes: 4000}, fmt.Sprintf("%s-%d", name, life))
+		acceptor, err := register.OpenAcceptor(disk.Options{World: node, Folder: node.Disk, LogBytes: bench.logBytes}, fmt.Sprintf("%s-%d", name, life))
 		bench.troubles[name] = err
 		if err != nil {
 			return
