After a power cut a control daemon runs for all its former duties together

Ruled out: nothing is lost where there is no configuration: after a session the core's duty is run for all the same.

--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -209,6 +209,9 @@
 func (daemon *Daemon) duties() []string {
 	_, _, tree := daemon.Office.Current()
 	if tree == nil {
+		if daemon.Duties.IsBack && daemon.Table.Watched() < daemon.span() {
+			return nil // the configuration is read first, and then all are run for together
+		}
 		return []string{CoreDuty}
 	}
 	names := []string{}
