Shared parts have an heir that all daemons find alike when their owner can't get them

Cause: the owner of a long shared part was the first by rendezvous of all replicas that exist. While it was cold and paced, held, shunned or cut off, a daemon weighed all others alike, and as each of 64 daemons sees a part once in minutes, nearly every such request was read again at another replica. Now those that may get the request are ranked: the first is the owner, the next one the heir, who pays half of the price of reading again.

Ruled out: places that change their slots (a successor keeps it).

In a unit of 12 daemons, requests whose owner can't be reached went to 7 to 11 replicas before, to one now (TestHeirReadsForAll, red before).

--- a/decide/route.go
+++ b/decide/route.go
@@ -137,6 +137,8 @@
 	// same, and the price of the way and of reading what is kept elsewhere.
 	foreseen, weight time.Duration
 	unread           int
+	// isOwner and isHeir tell whose the shared parts are, by claim.
+	isOwner, isHeir bool
 }
 
 // Route gives a replica to a directed request, waiting a little for one that may get
@@ -221,9 +223,8 @@
 	route := routed.Route
 	known := view.Tree.Engine(routed.Model)
 	routed.key = routed.owner
-	owner, most := "", uint64(0) // of the shared parts, among all that may be asked
 	isLong := decider.isLong(routed)
-	home, placedAt, placedMost := "", "", uint64(0) // of a tenant that has a placement
+	home := "" // of a tenant that has a placement
 	placement := decider.placement(view, routed, now)
 	if placement != nil {
 		isLong = isLong || placement.Reads
@@ -255,17 +256,6 @@
 				continue
 			}
 			seat := decider.engine(place.ID)
-			// A short prompt is not worth a far way: each region has an owner of its own.
-			if routed.owner != 0 && readers[place.ID] == isLong && (isLong || region == decider.Self.Region || !route.Within(decider.Self.Region)) {
-				if score := slotScore(routed.key, place); owner == "" || score > most {
-					owner, most = place.ID, score
-				}
-			}
-			if home == region && readers[place.ID] == isLong {
-				if score := slotScore(routed.key, place); placedAt == "" || score > placedMost {
-					placedAt, placedMost = place.ID, score
-				}
-			}
 			if wait := decider.paced(view, known, place, seat, now); wait > 0 {
 				soon(wait)
 				continue
@@ -283,9 +273,10 @@
 		// Better one in doubt than none at all.
 		all = shunned
 	}
-	if placedAt != "" {
-		owner = placedAt
-	}
+	claim(routed, all, home, func(place *standing.Place) (may, near bool) {
+		// A short prompt is not worth a far way: each region has an owner of its own.
+		return readers[place.ID] == isLong, isLong || place.Region == decider.Self.Region || !route.Within(decider.Self.Region)
+	})
 	var best *prospect
 	prices := decider.prices(view, routed.Model)
 	crowds := crowds{}
@@ -306,7 +297,7 @@
 	for at := range all {
 		one := &all[at]
 		running, waiting := crowds.of(one.place.Region, readers[one.place.ID]).expect(one.seat, now)
-		decider.foresee(prices, routed, one, running, waiting, owner == one.place.ID, now)
+		decider.foresee(prices, routed, one, running, waiting, now)
 		switch {
 		case one.row.Trial:
 			// All daemons load the same few replicas with what they may give a trial.
@@ -327,6 +318,46 @@
 	return best, next
 }
 
+// heirShare is which part of the price of reading shared parts again their heir pays.
+const heirShare = 0.5
+
+// claim marks whose the request's shared parts are among those that may get it now: the
+// first by rendezvous is their owner, the next one their heir. All daemons rank alike, so
+// what the owner can't get, as it is cold, held or has gone, they read again at one
+// replica and not each at another. Where the home of a tenant's placement has some that
+// may own, no others do.
+func claim(routed *Routed, all []prospect, home string, mayOwn func(*standing.Place) (may, near bool)) {
+	if routed.owner == 0 && home == "" {
+		return
+	}
+	var owner, heir *prospect
+	var most, next uint64
+	isPlaced := false
+	for at := range all {
+		one := &all[at]
+		may, near := mayOwn(one.place)
+		isHome := may && home != "" && one.place.Region == home
+		if isHome && !isPlaced {
+			isPlaced, owner, heir = true, nil, nil
+		}
+		if !may || isPlaced && !isHome || !isPlaced && (!near || routed.owner == 0) {
+			continue
+		}
+		switch score := slotScore(routed.key, one.place); {
+		case owner == nil || score > most:
+			owner, heir, most, next = one, owner, score, most
+		case heir == nil || score > next:
+			heir, next = one, score
+		}
+	}
+	if owner != nil {
+		owner.isOwner = true
+	}
+	if heir != nil {
+		heir.isHeir = true
+	}
+}
+
 // paced gives how long a replica is to be left alone, as it is cold and this daemon's
 // part of what it bears then is used up; zero when it may get a request.
 //
@@ -458,12 +489,16 @@
 
 // foresee fills in how long the first piece would take at the replica, where so many are
 // expected to run and to wait.
-func (decider *Decider) foresee(prices prices, routed *Routed, one *prospect, running, waiting float64, isOwner bool, now time.Duration) {
+func (decider *Decider) foresee(prices prices, routed *Routed, one *prospect, running, waiting float64, now time.Duration) {
 	seat := one.seat
-	own, shared := seat.unread(routed.Parts, routed.Tokens, isOwner)
+	own, shared := seat.unread(routed.Parts, routed.Tokens, one.isOwner)
 	one.unread = own + shared
 	one.foreseen = decider.base + decider.reading(seat.reading) + decider.reading(one.unread) + prices.crowd(running) + time.Duration(waiting*float64(eachWaiting)) + seat.lagged(now)
-	one.weight = one.foreseen + time.Duration(float64(shared)/1000*float64(prices.again))
+	again := float64(shared) / 1000 * float64(prices.again)
+	if one.isHeir {
+		again *= heirShare
+	}
+	one.weight = one.foreseen + time.Duration(again)
 	if one.place.Region != decider.Self.Region {
 		one.foreseen += prices.far
 		one.weight += 2*prices.far + time.Duration(prices.farKB*float64(routed.Bytes)/1024*float64(time.Millisecond))
