Data daemons ask replicas whether they are cold where nobody keeps the standing

A data daemon now asks the replicas of such a region itself, its own region's first, 16 at a time. One that said that it is not cold counts as warm for a permit's length, as the standing has it.

Ruled out: denied kinds (18 of 2,000 long prompts up to 18 s).

--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -24,6 +24,7 @@
 	_, isDeployed := platform.Deployed()
 	if isDeployed {
 		options.Relayer = &replica.Relay{World: process.World, Dialect: platform.Dialect{}}
+		options.Probe = platform.Dialect{}.Probe
 	}
 	daemon := dataplane.New(options)
 	var more map[string]*fiber.App
--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -31,8 +31,10 @@
 	Replicas    replica.Client
 	// Relayer, if set, is the client for routed requests.
 	Relayer execute.Relayer
-	Log     *zap.Logger
-	Traced  func(execute.Record)
+	// Probe, if set, asks a replica of a model with an engine how it does.
+	Probe  func(target replica.Target, patience time.Duration) (replica.Vitals, error)
+	Log    *zap.Logger
+	Traced func(execute.Record)
 }
 
 // Daemon is a data daemon.
@@ -47,6 +49,7 @@
 	// wasMoving tells whether versions moved in the view before.
 	wasMoving atomic.Bool
 	attended  attended
+	inquirer  *loop.Waker
 }
 
 // New makes a daemon; it has no permit yet.
@@ -54,7 +57,7 @@
 	if options.Live == nil {
 		options.Live = settings.NewLive(settings.LiveOptions{Process: options.Process})
 	}
-	daemon := &Daemon{Options: options, began: options.World.Now()}
+	daemon := &Daemon{Options: options, began: options.World.Now(), inquirer: loop.NewWaker(options.World)}
 	if daemon.Log == nil {
 		daemon.Log = zap.NewNop()
 	}
@@ -70,6 +73,9 @@
 		World: options.World, Client: daemon.Client, Self: daemon.Self,
 		Changed: func(view *permit.View) {
 			daemon.Decider.Wake()
+			if len(view.Unkept) > 0 {
+				daemon.inquirer.Wake()
+			}
 			if daemon.wasMoving.Swap(view.IsMoving) || view.IsMoving {
 				daemon.Client.Hurry() // a run waits for the word that this is seen
 			}
@@ -151,6 +157,9 @@
 	if relay, isRelay := daemon.Relayer.(*replica.Relay); isRelay {
 		daemon.World.Go(func() { daemon.tend(relay) })
 	}
+	if daemon.Probe != nil {
+		daemon.World.Go(daemon.inquire)
+	}
 	daemon.World.Go(func() {
 		had := false
 		loop.Every(daemon.World, func() time.Duration { return daemon.span() / 6 }, func() bool {
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -115,3 +115,49 @@
 		}
 	}
 }
+
+// TestWordOfAReplica: what a replica said itself counts where nobody keeps its region's
+// standing: for the life that said it, for a permit's length, and never against a standing
+// that shows it as cold.
+func TestWordOfAReplica(t *testing.T) {
+	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":24}},"limits":{"permit_ms":2000}},
+ "engines":{"m":{"probe_path":"/v","cold_ms":3000,"cold_per_s":19,"berths":24}},"regions":{"a":{"zones":{"a-1":{}}}}}`))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	warm := standing.Place{ID: "i-1", Address: "x", Boot: "i-1", Region: "a", Zone: "a-1", Warm: 1}
+	view := &permit.View{Tree: tree, Unkept: map[string]bool{"a": true}, Standings: map[string]standing.Standing{"a": {Places: []standing.Place{warm}, Rows: []standing.Row{{Replica: "i-1", Model: "m"}}}}}
+	world := sim.New(1)
+	defer world.Close()
+	world.Start("w", func(*sim.Node) {})
+	world.Run(time.Second)
+	decider := New(Options{World: world.Node("w"), Self: session.Member{Name: "d", Region: "a"}, Holder: func() *permit.View { return view }})
+	isCold := func(place standing.Place) bool {
+		return decider.isCold(view, &place, decider.engine(place.ID), world.Now())
+	}
+	list := decider.Inquiries()
+	if len(list) != 1 || list[0] != (Inquiry{Replica: "i-1", Address: "x", Boot: "i-1", Path: "/v"}) || len(decider.Inquiries()) > 0 {
+		t.Fatalf("asked are %v", list)
+	}
+	if !isCold(warm) {
+		t.Error("warm before it said so")
+	}
+	decider.Inquired(list[0], world.Now(), false)
+	if !isCold(warm) {
+		t.Error("warm though it did not say so")
+	}
+	decider.Inquired(list[0], world.Now(), true)
+	next, cold := warm, warm
+	next.Boot, cold.Warm = "i-2", 0.5
+	if isCold(warm) || !isCold(next) || !isCold(cold) {
+		t.Errorf("it is %v, its next life %v, one that the standing shows as cold %v", isCold(warm), isCold(next), isCold(cold))
+	}
+	world.Run(1999 * time.Millisecond)
+	if isCold(warm) || len(decider.Inquiries()) != 1 {
+		t.Error("its word ends before a permit's length, or it is not asked again before")
+	}
+	world.Run(time.Millisecond)
+	if !isCold(warm) {
+		t.Error("its word has no end")
+	}
+}
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -83,6 +83,9 @@
 	// flowing are the streams that have begun and not ended.
 	flowing int
 	vitals  vitals
+	// word is what the replica told when it was asked, inquired when that was last tried.
+	word     word
+	inquired time.Duration
 	// region and model are those that it was last seen with.
 	region, model string
 }
--- a/decide/route.go
+++ b/decide/route.go
@@ -364,7 +364,7 @@
 // Invariant: over every second, all data daemons that know of each other send a cold
 // replica at most ColdRate times cold_excess together, and one where that is below one.
 func (decider *Decider) paced(view *permit.View, known *settings.Engine, place *standing.Place, seat *engine, now time.Duration) time.Duration {
-	if known == nil || known.ColdRate <= 0 || place.Warm >= 1 && !view.Unkept[place.Region] {
+	if known == nil || known.ColdRate <= 0 || !decider.isCold(view, place, seat, now) {
 		seat.part = nil
 		return 0
 	}
--- a/fleet/park.go
+++ b/fleet/park.go
@@ -270,7 +270,11 @@
 	life := fmt.Sprint(park.lives)
 	park.born(name)
 	park.Start(name, func(node *sim.Node) {
-		daemon := dataplane.New(dataplane.Options{World: node, Net: sim.Net{Node: node}, Process: park.process(name), Live: park.live(name), Incarnation: life, Replicas: &client{park, node, map[string][]idleLine{}}, Relayer: &relayer{park, node, map[string][]*wireLine{}}})
+		options := dataplane.Options{World: node, Net: sim.Net{Node: node}, Process: park.process(name), Live: park.live(name), Incarnation: life, Replicas: &client{park, node, map[string][]idleLine{}}, Relayer: &relayer{park, node, map[string][]*wireLine{}}}
+		if len(park.Plan.Engines) > 0 {
+			options.Probe = engineDialect{client: &client{park, node, nil}}.Probe
+		}
+		daemon := dataplane.New(options)
 		park.Datas[name] = daemon
 		node.Serve(daemon.Services())
 		daemon.Run()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -89,6 +89,8 @@
 	Cold time.Duration
 	// Ill tells that it answered, and said that it is not well.
 	Ill bool
+	// Declined tells that it turned the probe away for want of a place, and said no more.
+	Declined bool
 }
 
 // Client is what the product knows of replicas.
