Holders' records are written a few at a time, each once at the office that was asked

Cause: when all data daemons begin at once, each office began the writes of all that asked it together; where no acceptor serves so many rounds in time, none is ever done, each goes on for 2 s after its asker has given up, and the asker has it begun once more at the next control daemon, against its own first. Ruled out: the disk alone (in virtual time 420 have a permit after 1 s with syncs of 60 or 100 ms, and a round has no majority from 250 ms on whoever asks); 32 at a time instead of 16 (with 1.3 ms a call 83 of 420 have a permit after 6 s, with 16 it is 339). Now an office writes 16 records at a time, in the order of asking, one only once; who waits is told to ask here again, as long as others' records are written meanwhile. In virtual time, where a machine serves a call in 1 ms (sim.ServeTime is new) and syncs in 20 ms: 0 of 420 after 10 s with 38,226 prepares before, 420 after 5.3 s with 5,262 now (TestStartOfAllOnSlowMachines).

--- a/fleet/editions_test.go
+++ b/fleet/editions_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"swifttiller/controlplane"
 	"swifttiller/fleet"
 	"swifttiller/sim"
 )
@@ -370,3 +371,56 @@
 		t.Error("not all have a permit in the end")
 	}
 }
+
+// TestStartOfAllOnSlowMachines: as many data daemons as the target has begin at once, while
+// the control daemons' machines are so slow that they could not serve the writes of all
+// their records in time if all were begun together. Each round that nobody waits for any
+// more would make the others late.
+func TestStartOfAllOnSlowMachines(t *testing.T) {
+	skipLong(t)
+	plan := grown(420, 36, 6)
+	park := fleet.NewBarePark(6, plan)
+	defer park.Close()
+	for name := range park.Datas {
+		park.Crash(name)
+	}
+	park.Must("c1", func(daemon *controlplane.Daemon) error {
+		_, err := daemon.Init([]string{"c1", "c2", "c3"})
+		return err
+	})
+	park.Must("c1", func(daemon *controlplane.Daemon) error {
+		_, err := daemon.Apply([]byte(plan.Document), nil, false)
+		return err
+	})
+	park.Run(10 * time.Second)
+	for _, from := range park.Names() {
+		for _, to := range park.Names() {
+			if fleet.Region(park.Zone(from)) != fleet.Region(park.Zone(to)) {
+				park.Delay(from, to, between)
+			}
+		}
+	}
+	park.SyncTime, park.ServeTime = 20*time.Millisecond, time.Millisecond
+	began, writes := park.Now(), park.Messages["Register.Prepare"]
+	for _, word := range plan.Datas {
+		name, _, _ := strings.Cut(word, ":")
+		park.StartData(name)
+	}
+	stand := 0
+	if !park.Until(10*time.Second, func() bool {
+		stand = 0
+		for _, daemon := range park.Datas {
+			if daemon.Holder.View().Stands(park.Now()) {
+				stand++
+			}
+		}
+		return stand == len(park.Datas)
+	}) {
+		t.Errorf("%d of %d have a permit in the end", stand, len(park.Datas))
+	}
+	prepares := park.Messages["Register.Prepare"] - writes
+	t.Logf("%d of %d have a permit after %v, with %d prepares", stand, len(park.Datas), park.Now()-began, prepares)
+	if least := len(park.Datas) * 3; prepares < least {
+		t.Errorf("vacuous: %d prepares", prepares)
+	}
+}
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -199,7 +199,7 @@
 			ask.Standings[region] = one.Serial
 		}
 	}
-	reply, err := holder.Client.Ask("Permit.Renew", ask, func() any { return new(Grant) }, func(reply any) bool { return reply.(*Grant).Declined == "" }, holder.span()/2)
+	reply, err := holder.Client.Ask("Permit.Renew", ask, func() any { return new(Grant) }, func(reply any) bool { return reply.(*Grant).Declined == "" || reply.(*Grant).IsQueued }, holder.span()/2)
 	if err != nil {
 		reason := err.Error()
 		holder.Declined.Store(&reason)
--- a/permit/office.go
+++ b/permit/office.go
@@ -114,8 +114,10 @@
 	// Placed are the tenants' placements, packed, when newer than the asker's.
 	Placed       []byte
 	PlacedSerial uint64
-	// Declined says why there is none.
+	// Declined says why there is none. IsQueued tells that the holder's record waits its
+	// turn to be written where it asked, which is the place to ask again.
 	Declined string
+	IsQueued bool
 }
 
 // Options of an office.
@@ -150,7 +152,8 @@
 	parsed   *settings.Tree
 	document []byte
 	// enrolled are the holders' records that were written here last, by key.
-	enrolled map[string]Record
+	enrolled   map[string]Record
+	enrolments enrolments
 	// retiring is since when a holder has been without a session.
 	retiring map[string]time.Duration
 	granted  uint64
@@ -256,7 +259,7 @@
 	holderKey := HolderPrefix + ask.Holder.Name
 	// The records first, the configuration after: see Record.
 	if err := office.recorded(holderKey, record, ask.Config == 0); err != nil {
-		grant.Declined = err.Error()
+		grant.Declined, grant.IsQueued = err.Error(), errors.Is(err, errQueued)
 		return nil
 	}
 	_, _, tree := office.Current()
@@ -393,40 +396,28 @@
 	office.guard.Lock()
 	isNew = isNew && office.enrolled[key] != record
 	office.guard.Unlock()
-	if isNew {
-		if err := office.enrol(key, record); err != nil {
+	if !isNew {
+		value, err := office.Keeper.Read(key)
+		if err != nil {
 			return err
 		}
-		office.guard.Lock()
-		defer office.guard.Unlock()
-		if office.enrolled == nil {
-			office.enrolled = map[string]Record{}
+		var have Record
+		if value.Serial > 0 {
+			_ = json.Unmarshal(value.Data, &have)
+		}
+		if have == record {
+			return nil
 		}
-		office.enrolled[key] = record
-		return nil
-	}
-	value, err := office.Keeper.Read(key)
-	if err != nil {
-		return err
-	}
-	var have Record
-	if value.Serial > 0 {
-		_ = json.Unmarshal(value.Data, &have)
-	}
-	if have == record {
-		return nil
 	}
-	return office.enrol(key, record)
+	return office.enrol(enrolment{key, record}, office.span()/4)
 }
 
-// enrol records a holder. An older incarnation of the name is thereby gone.
-func (office *Office) enrol(key string, record Record) error {
-	data, err := json.Marshal(record)
-	if err != nil {
-		return err
+// span is a permit's length.
+func (office *Office) span() time.Duration {
+	if _, _, tree := office.Current(); tree != nil {
+		return tree.Span("permit_ms", "")
 	}
-	_, err = office.Keeper.Change(key, func(register.Value) ([]byte, error) { return data, nil })
-	return err
+	return time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
 }
 
 // Applied is how a configuration came to be acknowledged.
--- a/sim/net.go
+++ b/sim/net.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"time"
 
+	"swifttiller/loop"
 	"swifttiller/wire"
 )
 
@@ -132,6 +133,13 @@
 		if node.life != life || node.services == nil {
 			return
 		}
+		if sim.ServeTime > 0 {
+			node.busyUntil = max(node.busyUntil, sim.now) + sim.ServeTime
+			loop.Sleep(node, node.busyUntil-sim.now)
+			if node.life != life {
+				return
+			}
+		}
 		server := node.services(method).(*rpc.Server)
 		codec := &codec{sim: sim, method: method, sent: sent, from: node.Name, to: net.Name}
 		server.ServeRequest(codec)
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -27,7 +27,10 @@
 	links  map[[2]string]*Link
 	// Latency of one way on the network, and of one sync.
 	Latency, Jitter, SyncTime time.Duration
-	Messages                  map[string]int
+	// ServeTime is what a node's processor takes for each call that it serves, one after
+	// the other, whether or not the caller still waits; none when zero.
+	ServeTime time.Duration
+	Messages  map[string]int
 	// Bytes are the bytes of calls and answers as gob writes them, by method.
 	Bytes map[string]int
 	// OnBytes, if set, is told of each call's and answer's bytes, and of their way.
@@ -210,6 +213,8 @@
 	// showed shown.
 	pace         float64
 	paced, shown time.Duration
+	// busyUntil is when it will have served what came so far.
+	busyUntil time.Duration
 }
 
 type task struct {
