Members that stay are told their uptimes alone each 30 s

Ruled out: telling them more seldom, as clocks may part by a twentieth. Now an ask names the members' sum also then, and gets their uptimes in milliseconds, in the order of their names.

--- a/fleet/chatter_test.go
+++ b/fleet/chatter_test.go
@@ -41,6 +41,7 @@
 	far      float64 // bytes between regions
 	each     float64 // bytes to and from the data daemon that says and hears most
 	served   float64 // bytes to and from data daemons, all
+	bodies   float64 // the same without what a call costs beside its body
 	messages float64 // messages to and from the busiest data daemon
 }
 
@@ -79,6 +80,7 @@
 				each[name] += whole
 				messages[name]++
 				out.served += whole
+				out.bodies += float64(bytes)
 			}
 		}
 	}
@@ -96,7 +98,7 @@
 	for name := range each {
 		out.each, out.messages = max(out.each, each[name]/span), max(out.messages, messages[name]/span)
 	}
-	out.far, out.served = out.far/span, out.served/span
+	out.far, out.served, out.bodies = out.far/span, out.served/span, out.bodies/span
 	return out
 }
 
@@ -225,8 +227,8 @@
 	var first chatter
 	for index, size := range sizes {
 		one := listenFor(1, grown(size.datas, size.replicas, size.controls), 60)
-		mean := one.served / float64(size.datas)
-		t.Logf("%d data daemons, %.0f bytes a second at each in the mean: %v", size.datas, mean, one)
+		mean, body := one.served/float64(size.datas), one.bodies/float64(size.datas)
+		t.Logf("%d data daemons, %.0f bytes a second at each in the mean, %.0f of them bodies: %v", size.datas, mean, body, one)
 		if mean == 0 || one.messages == 0 {
 			t.Fatal("vacuous")
 		}
@@ -237,6 +239,10 @@
 		if before := first.served / float64(sizes[0].datas); mean > 1.1*before || mean < before/1.1 {
 			t.Errorf("control traffic: a data daemon's mean goes from %.0f to %.0f bytes a second", before, mean)
 		}
+		// Headers, which are the same for each message, hide what grows.
+		if before := first.bodies / float64(sizes[0].datas); body > 1.1*before || body < before/1.1 {
+			t.Errorf("control traffic: a data daemon's mean goes from %.0f to %.0f bytes of bodies a second", before, body)
+		}
 		if one.each > 1.1*first.each || one.messages > 1.1*first.messages {
 			t.Errorf("control traffic: the busiest data daemon's part grows: %v, then %v", first, one)
 		}
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -47,7 +47,7 @@
 	// Unkept are regions whose standing nobody has kept up to date since this daemon has
 	// it: its replicas may have begun anew, and count as cold.
 	Unkept map[string]bool
-	// Members have their uptimes as of told; they came, with their sum, at listed.
+	// Members have their uptimes as of told; those of all came last at timed.
 	Members []session.Member
 	Expiry  time.Duration
 	// IsMoving tells that some standing has a version on trial, or one that was left and
@@ -56,7 +56,7 @@
 	sum      uint64
 	out      []string // the evacuated zones, as they were told
 	told     time.Duration
-	listed   time.Duration
+	timed    time.Duration
 	texts    map[string]text // of the standings that came last, by region
 	// Placed are the tenants' placements as of their serial; nil before any came.
 	Placed       *tenant.Book
@@ -172,9 +172,9 @@
 	return false
 }
 
-// relisted is after which time members are asked for anew even if they are the same,
-// as clocks part that uptimes are reckoned on by.
-const relisted = 30 * time.Second
+// stale is after which time the members' uptimes are asked for anew, as clocks part that
+// they are reckoned on by.
+const stale = 30 * time.Second
 
 // Renewals is how often a permit is renewed in its length.
 const Renewals = 3
@@ -190,10 +190,7 @@
 func (holder *Holder) Renew() bool {
 	asked := holder.World.Now()
 	have := holder.View()
-	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.PlacedSerial}
-	if asked-have.listed < relisted {
-		ask.Members = have.sum
-	}
+	ask := Ask{Holder: holder.Self(), Config: have.Serial, Standings: map[string]uint64{}, Placed: have.PlacedSerial, Members: have.sum, IsStale: asked-have.timed >= stale}
 	for region, one := range have.Standings {
 		if have.texts[region].serial == one.Serial {
 			ask.Standings[region] = one.Serial
@@ -297,7 +294,7 @@
 func (view *View) enlist(have *View, grant *Grant) {
 	isWhole := grant.Base == 0 && (grant.Members != nil || grant.Sum != have.sum)
 	if isWhole {
-		view.Members, view.sum, view.listed = grant.Members, grant.Sum, view.told
+		view.Members, view.sum, view.timed = grant.Members, grant.Sum, view.told
 		return
 	}
 	isOut := map[string]bool{}
@@ -320,6 +317,12 @@
 	if grant.Base != 0 && (grant.Base != have.sum || session.Sum(view.Members) != grant.Sum) {
 		view.sum = 0 // another list came meanwhile: the next ask brings the whole one
 	}
+	if view.sum == grant.Sum && len(grant.Uptimes) == len(view.Members) {
+		for at, uptime := range grant.Uptimes {
+			view.Members[at].Uptime = time.Duration(uptime) * time.Millisecond
+		}
+		view.timed = view.told
+	}
 }
 
 // fetched is a configuration that was put together, and checked.
--- a/permit/office.go
+++ b/permit/office.go
@@ -88,8 +88,10 @@
 	// Config and Standings are what it has already.
 	Config    uint64
 	Standings map[string]uint64
-	// Members is the sum of the members that it has.
+	// Members is the sum of the members that it has. IsStale tells that their uptimes,
+	// which it reckons on by its own clock, are to be told anew.
 	Members uint64
+	IsStale bool
 	// Placed is the serial of the tenants' placements that it has.
 	Placed uint64
 }
@@ -110,7 +112,10 @@
 	Members   []session.Member
 	Gone      []string
 	Base, Sum uint64
-	Length    time.Duration
+	// Uptimes are of all members, in the order of their names and in milliseconds, if they
+	// were asked for and Members has not all.
+	Uptimes []int64
+	Length  time.Duration
 	// Placed are the tenants' placements, packed, when newer than the asker's.
 	Placed       []byte
 	PlacedSerial uint64
@@ -336,6 +341,11 @@
 			members = append(members, one.Member)
 		}
 		office.list(members, ask.Members, grant)
+		if ask.IsStale && (grant.Base != 0 || grant.Sum == ask.Members) {
+			for _, one := range members {
+				grant.Uptimes = append(grant.Uptimes, one.Uptime.Milliseconds())
+			}
+		}
 		grant.Length = fresh.Span("permit_ms", "")
 		// A daemon that slept between its readings may hold a configuration that
 		// was replaced long ago; the holder counts from before it asked, so such
