--- /dev/null
+++ b/decide/report_test.go
@@ -0,0 +1,38 @@
+package decide_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"swifttiller/decide"
+)
+
+// TestReportFollowsStandings: what a report says of credits is of the view at hand, also
+// where other regions' standings stay and this daemon's own has a new one.
+func TestReportFollowsStandings(t *testing.T) {
+	Convey("A daemon that holds a request", t, func() {
+		bench := newBench("x")
+		defer bench.Close()
+		var selection *decide.Selection
+		bench.do("x", func(decider *decide.Decider) {
+			one := call("a")
+			_, ticket, _, _ := decider.Locate("m", "k", "", "a-1", 7)
+			one.Ticket = ticket.Seal()
+			if decider.Allow(one) == nil {
+				selection, _ = decider.Select(one, nil)
+			}
+		})
+		So(selection, ShouldNotBeNil)
+		So(bench.deciders["x"].Report().Overflow["m"], ShouldEqual, 0)
+		Convey("lacks credits once a new standing gives it none", func() {
+			other := view([]string{"x"}, 0, false)
+			next := *bench.now
+			next.Standings = other.Standings
+			bench.now = &next
+			if lack := bench.deciders["x"].Report().Overflow["m"]; lack <= 0 {
+				t.Errorf("control traffic: a report goes by the standing before: it lacks %v", lack)
+			}
+		})
+	})
+}
--- a/fleet/editions_test.go
+++ b/fleet/editions_test.go
@@ -416,7 +416,7 @@
 		}
 		return stand == len(park.Datas)
 	}) {
-		t.Errorf("%d of %d have a permit in the end", stand, len(park.Datas))
+		t.Errorf("control traffic: %d of %d have a permit in the end", stand, len(park.Datas))
 	}
 	prepares := park.Messages["Register.Prepare"] - writes
 	t.Logf("%d of %d have a permit after %v, with %d prepares", stand, len(park.Datas), park.Now()-began, prepares)
--- a/fleet/scale.go
+++ b/fleet/scale.go
@@ -191,21 +191,30 @@
 	client   *http.Client
 }
 
-// probes counts what control daemons ask of replicas and of the platform.
-type probes struct{ asked, bytes atomic.Int64 }
+// probes counts what control daemons ask of replicas and of the platform, and connections
+// that had to wait as this process had no file left for them.
+type probes struct{ asked, bytes, fileless atomic.Int64 }
 
 type probedListener struct {
 	net.Listener
 	probes *probes
 }
 
-// Accept counts what goes over the connection.
+// Accept counts what goes over the connection. Where this process has no file left it
+// tries again: a server that was told so would end for good.
 func (listener probedListener) Accept() (net.Conn, error) {
-	conn, err := listener.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := listener.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) {
+			listener.probes.fileless.Add(1)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return probedConn{conn, listener.probes}, nil
 	}
-	return probedConn{conn, listener.probes}, nil
 }
 
 type probedConn struct {
@@ -711,6 +720,7 @@
 			stand++
 		}
 	}
+	point.Figures["fileless"] = float64(scale.probes.fileless.Load())
 	point.Figures["permits_stand"] = float64(stand) / float64(len(scale.hollows))
 	return point, ctx.Err()
 }
--- a/permit/enrol.go
+++ b/permit/enrol.go
@@ -9,10 +9,15 @@
 	"swifttiller/register"
 )
 
-// enrolling is how many records of holders an office writes at a time. Each takes two
-// rounds at all acceptors. When all daemons of a large fleet begin at once, and none of the
-// acceptors can serve the rounds of all of them in time, no round is ever done.
-const enrolling = 16
+// How many records of holders an office writes at a time. Each takes two rounds at all
+// acceptors. When all daemons of a large fleet begin at once, and none of the acceptors can
+// serve the rounds of all of them in time, no round is ever done. So there is one more with
+// each that is written, but only the least once one took longer than a round is waited for,
+// until none waits any more.
+const (
+	leastEnrolling = 16
+	firstEnrolling = 32
+)
 
 // enrolment is a record that is to be written, or was.
 type enrolment struct {
@@ -23,8 +28,8 @@
 // enrolments are the records that wait to be written, in the order of their coming, and
 // those that are being written.
 //
-// Invariants: a record is among them once, however often its holder asks. At most enrolling
-// are being written, and as many are unless none waits.
+// Invariants: a record is among them once, however often its holder asks. While any waits,
+// no fewer than width are being written, and no more begin.
 type enrolments struct {
 	queue []enrolment
 	// asking are who waits for each of them; a record is in it exactly while it waits or
@@ -32,6 +37,7 @@
 	asking  map[enrolment][]loop.Mailbox
 	writing int
 	written uint64 // counts those that were
+	width   int
 }
 
 var (
@@ -50,18 +56,15 @@
 	if line.asking == nil {
 		line.asking = map[enrolment][]loop.Mailbox{}
 	}
+	if len(line.asking) == 0 {
+		line.width = firstEnrolling
+	}
 	if _, isIn := line.asking[one]; !isIn {
 		line.queue = append(line.queue, one)
 	}
 	line.asking[one] = append(line.asking[one], box)
-	begins := line.writing < enrolling && len(line.queue) > 0
-	if begins {
-		line.writing++
-	}
+	office.begin()
 	office.guard.Unlock()
-	if begins {
-		office.World.Go(office.write)
-	}
 	for _, span := range []time.Duration{patience, 3 * patience} {
 		if got, isOver := box.Take(span); isOver {
 			err, _ := got.(error)
@@ -77,36 +80,45 @@
 	return errSlow
 }
 
-// write writes records as long as any waits.
-func (office *Office) write() {
+// begin begins writing as many records as may be; who holds the guard calls it.
+func (office *Office) begin() {
 	line := &office.enrolments
-	for {
-		office.guard.Lock()
-		if len(line.queue) == 0 {
-			line.writing--
-			office.guard.Unlock()
-			return
-		}
+	for line.writing < line.width && len(line.queue) > 0 {
 		one := line.queue[0]
 		line.queue = line.queue[1:]
-		office.guard.Unlock()
-		data, err := json.Marshal(one.record)
-		if err == nil {
-			_, err = office.Keeper.Change(one.key, func(register.Value) ([]byte, error) { return data, nil })
-		}
-		office.guard.Lock()
-		if err == nil {
-			line.written++
-			if office.enrolled == nil {
-				office.enrolled = map[string]Record{}
-			}
-			office.enrolled[one.key] = one.record
-		}
-		asking := line.asking[one]
-		delete(line.asking, one)
-		office.guard.Unlock()
-		for _, box := range asking {
-			box.Put(err)
+		line.writing++
+		office.World.Go(func() { office.write(one) })
+	}
+}
+
+// write writes a record.
+func (office *Office) write(one enrolment) {
+	began := office.World.Now()
+	data, err := json.Marshal(one.record)
+	if err == nil {
+		_, err = office.Keeper.Change(one.key, func(register.Value) ([]byte, error) { return data, nil })
+	}
+	isSlow := err != nil || office.World.Now()-began > office.Keeper.Patience/4
+	line := &office.enrolments
+	office.guard.Lock()
+	line.writing--
+	if isSlow {
+		line.width = leastEnrolling
+	} else if line.width > leastEnrolling {
+		line.width++
+	}
+	if err == nil {
+		line.written++
+		if office.enrolled == nil {
+			office.enrolled = map[string]Record{}
 		}
+		office.enrolled[one.key] = one.record
+	}
+	asking := line.asking[one]
+	delete(line.asking, one)
+	office.begin()
+	office.guard.Unlock()
+	for _, box := range asking {
+		box.Put(err)
 	}
 }
