--- a/permit/office.go
+++ b/permit/office.go
@@ -88,8 +88,10 @@
 	// Config and Standings are what it has already.
 	Config    uint64
 	Standings map[string]uint64
-	// Members is the sum of the members that it has.
+	// Members is the sum of the members that it has. IsStale tells that their uptimes,
+	// which it reckons on by its own clock, are to be told anew.
 	Members uint64
+	IsStale bool
 	// Placed is the serial of the tenants' placements that it has.
 	Placed uint64
 }
@@ -110,12 +112,17 @@
 	Members   []session.Member
 	Gone      []string
 	Base, Sum uint64
-	Length    time.Duration
+	// Uptimes are of all members, in the order of their names and in milliseconds, if they
+	// were asked for and Members has not all.
+	Uptimes []int64
+	Length  time.Duration
 	// Placed are the tenants' placements, packed, when newer than the asker's.
 	Placed       []byte
 	PlacedSerial uint64
-	// Declined says why there is none.
+	// Declined says why there is none. IsQueued tells that the holder's record waits its
+	// turn to be written where it asked, which is the place to ask again.
 	Declined string
+	IsQueued bool
 }
 
 // Options of an office.
@@ -150,7 +157,8 @@
 	parsed   *settings.Tree
 	document []byte
 	// enrolled are the holders' records that were written here last, by key.
-	enrolled map[string]Record
+	enrolled   map[string]Record
+	enrolments enrolments
 	// retiring is since when a holder has been without a session.
 	retiring map[string]time.Duration
 	granted  uint64
@@ -256,7 +264,7 @@
 	holderKey := HolderPrefix + ask.Holder.Name
 	// The records first, the configuration after: see Record.
 	if err := office.recorded(holderKey, record, ask.Config == 0); err != nil {
-		grant.Declined = err.Error()
+		grant.Declined, grant.IsQueued = err.Error(), errors.Is(err, errQueued)
 		return nil
 	}
 	_, _, tree := office.Current()
@@ -327,12 +335,13 @@
 		if placed := values[PlacedKey]; placed.Serial > ask.Placed {
 			grant.Placed, grant.PlacedSerial = placed.Data, placed.Serial
 		}
-		var members []session.Member
-		for _, one := range office.Table.Live("") {
-			one.Member.Duties, one.Member.Keeps = nil, nil
-			members = append(members, one.Member)
-		}
+		members := office.Table.Members("")
 		office.list(members, ask.Members, grant)
+		if ask.IsStale && (grant.Base != 0 || grant.Sum == ask.Members) {
+			for _, one := range members {
+				grant.Uptimes = append(grant.Uptimes, one.Uptime.Milliseconds())
+			}
+		}
 		grant.Length = fresh.Span("permit_ms", "")
 		// A daemon that slept between its readings may hold a configuration that
 		// was replaced long ago; the holder counts from before it asked, so such
@@ -393,40 +402,28 @@
 	office.guard.Lock()
 	isNew = isNew && office.enrolled[key] != record
 	office.guard.Unlock()
-	if isNew {
-		if err := office.enrol(key, record); err != nil {
+	if !isNew {
+		value, err := office.Keeper.Read(key)
+		if err != nil {
 			return err
 		}
-		office.guard.Lock()
-		defer office.guard.Unlock()
-		if office.enrolled == nil {
-			office.enrolled = map[string]Record{}
+		var have Record
+		if value.Serial > 0 {
+			_ = json.Unmarshal(value.Data, &have)
+		}
+		if have == record {
+			return nil
 		}
-		office.enrolled[key] = record
-		return nil
-	}
-	value, err := office.Keeper.Read(key)
-	if err != nil {
-		return err
-	}
-	var have Record
-	if value.Serial > 0 {
-		_ = json.Unmarshal(value.Data, &have)
-	}
-	if have == record {
-		return nil
 	}
-	return office.enrol(key, record)
+	return office.enrol(enrolment{key, record}, office.span()/4)
 }
 
-// enrol records a holder. An older incarnation of the name is thereby gone.
-func (office *Office) enrol(key string, record Record) error {
-	data, err := json.Marshal(record)
-	if err != nil {
-		return err
+// span is a permit's length.
+func (office *Office) span() time.Duration {
+	if _, _, tree := office.Current(); tree != nil {
+		return tree.Span("permit_ms", "")
 	}
-	_, err = office.Keeper.Change(key, func(register.Value) ([]byte, error) { return data, nil })
-	return err
+	return time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
 }
 
 // Applied is how a configuration came to be acknowledged.
