A stopping data daemon serves those that come late, while anybody comes

Cause: 1.5 s after a planned stop began a data daemon declined whatever came. Callers hold a list of daemons for a second, some three times as long, and longer where they get no new one; most of those that were declined had no further try.

TestStopServesLateComers, red before. A stop that nobody comes to takes as long as before.

--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -185,8 +185,9 @@
 }
 
 // Stop is a planned stop. The word goes out first, and the daemon serves on
-// until nobody can be sent here any more; then it declines what comes and waits
-// for what runs, at most for the grace. It tells whether all was finished.
+// until nobody can be sent here any more and nobody comes, for half of the grace at the
+// most; then it declines what comes and waits for what runs, at most for the grace. It
+// tells whether all was finished.
 func (daemon *Daemon) Stop(grace time.Duration) bool {
 	began := daemon.World.Now()
 	daemon.leaving.Store(true)
@@ -199,6 +200,13 @@
 	}
 	word := daemon.span()/3 + length/permit.Renewals + length/10
 	loop.Sleep(daemon.World, min(word, grace/4))
+	// Some callers go by older words than that, or can't get a new one: they are served
+	// for as long as what they ask for has half of the grace to end in.
+	for daemon.World.Now()-began < grace/2 && daemon.Decider.Quiet() < daemon.DoorSpan() {
+		if !loop.Sleep(daemon.World, 20*time.Millisecond) {
+			break
+		}
+	}
 	daemon.Decider.Stop()
 	for daemon.Decider.Running() > 0 && daemon.World.Now()-began < grace {
 		if !loop.Sleep(daemon.World, 20*time.Millisecond) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -111,6 +111,7 @@
 	uses    map[string]*use
 	queue   []*waiter
 	stopped bool
+	came    time.Duration // when the last request was let in, in the world's uptime
 	budget  budget
 	// repeats are the budgets of routed requests, by model: each has only what its own
 	// demand allows.
@@ -265,6 +266,7 @@
 	if call.Home == "" {
 		call.Home = placement.Home
 	}
+	decider.came = decider.World.Now()
 	return nil
 }
 
@@ -728,6 +730,13 @@
 	decider.stopped = true
 }
 
+// Quiet tells for how long no request was let in, in the world's uptime.
+func (decider *Decider) Quiet() time.Duration {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	return decider.World.Now() - decider.came
+}
+
 // Running tells how many dispatches and waiters there are.
 func (decider *Decider) Running() int {
 	decider.guard.Lock()
--- a/decide/route.go
+++ b/decide/route.go
@@ -55,6 +55,7 @@
 		return decider.decline(404, "no_route", "no route has this host and path", 0)
 	}
 	routed.Route, routed.Came = route, now
+	decider.came = now
 	routed.Model = decider.share(route)
 	if limit := now + route.Timeout; route.Timeout > 0 && (routed.Expiry == 0 || routed.Expiry > limit) {
 		routed.Expiry = limit
--- a/fleet/routed.go
+++ b/fleet/routed.go
@@ -34,6 +34,9 @@
 	// event. Tries are those of a caller, one or two.
 	Repeatable, Resume bool
 	Tries              int
+	// Holds are how many times as long as it may a caller goes by its list of daemons;
+	// zero means once.
+	Holds int
 	// From and Until bound it; zero means always.
 	From, Until time.Duration
 }
@@ -191,7 +194,7 @@
 			park.Deliver(at, node.Name, func(*sim.Node) { box.Put(out) })
 		})
 		if got, has := box.Take(doorPatience); has && len(got.([]string)) > 0 {
-			caller.doors, caller.until = got.([]string), node.Now()+park.Datas[name].DoorSpan()
+			caller.doors, caller.until = got.([]string), node.Now()+park.Datas[name].DoorSpan()*time.Duration(max(1, caller.crowd.Holds))
 			return
 		}
 	}
--- /dev/null
+++ b/fleet/stop_test.go
@@ -0,0 +1,55 @@
+package fleet_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"swifttiller/fleet"
+)
+
+// TestStopServesLateComers: callers that go by their list of daemons for three times as
+// long as they may lose nothing by a planned stop, and the stop takes no longer than there
+// is somebody who comes.
+func TestStopServesLateComers(t *testing.T) {
+	late := 0
+	for seed := uint64(4); seed <= 8; seed++ {
+		plan := fleet.RoutedShapes["small"].Plan()
+		for at := range plan.Routed {
+			plan.Routed[at].Holds = 3
+		}
+		name := func(word string) string { before, _, _ := strings.Cut(word, ":"); return before }
+		one, other := name(plan.Datas[0]), name(plan.Datas[1])
+		park := fleet.NewPark(seed, plan)
+		park.Run(warmRouted)
+		stop := func(name string) time.Duration {
+			began := park.Now()
+			park.StopData(name)
+			return park.Now() - began
+		}
+		began := park.Now()
+		took := stop(one)
+		for _, request := range park.RoutedRequests {
+			for _, try := range request.Tries {
+				if try.Daemon != one || try.Sent < began {
+					continue
+				}
+				if try.Sent > began+2*time.Second {
+					late++
+				}
+				if try.Status != 200 && try.Sent < began+took-200*time.Millisecond {
+					t.Errorf("planned: seed %d: %s, sent %v after the stop began, ended with %d %s", seed, try.ID, try.Sent-began, try.Status, try.Code)
+				}
+			}
+		}
+		park.Quiet = true
+		park.Run(3 * time.Second)
+		if idle := stop(other); idle > 2*time.Second {
+			t.Errorf("planned: seed %d: a stop that nobody comes to takes %v", seed, idle)
+		}
+		park.Close()
+	}
+	if late < 5 {
+		t.Errorf("vacuous: only %d came late", late)
+	}
+}
