Calls that begin together share the opening of a line

Cause: where no line leads to an address each call opened its own, and all but one of them were closed. After a power cut a control daemon that writes the records of many data daemons at once opened one for each call to each colleague, and each costs processor time at both ends.

Ruled out: sharing for as long as a line is opening. An opening packet that is lost is sent again only after a second; so calls join an opening that began within 50 ms, and later ones begin anew.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -58,6 +58,14 @@
 	Dial  func(network, address string, patience time.Duration) (net.Conn, error)
 	guard sync.Mutex
 	lines map[string]*rpc.Client
+	// opening has, by address, the line that began to open last.
+	opening map[string]*opening
+}
+
+// opening is a line on its way: since when, and who waits for it besides who began it.
+type opening struct {
+	since   time.Duration
+	waiters []loop.Mailbox
 }
 
 // dialParts is which part of a call's patience is spent on waiting for a line to open.
@@ -68,6 +76,11 @@
 // It is below the second after which a lost opening packet is sent again.
 const dialPatience = 900 * time.Millisecond
 
+// joinSpan is for how long calls wait for a line that another call has begun to open: many
+// that come at once would each open their own, and all but one be closed. Those that come
+// later begin anew, as an opening packet may have been lost.
+const joinSpan = 50 * time.Millisecond
+
 // errOpening is the cause when a line did not open in the part of the patience for it.
 var errOpening = errors.New("the connection is still opening")
 
@@ -82,16 +95,38 @@
 	// only after a second or more. The caller had better try again, or elsewhere.
 	part := patience / dialParts
 	box := tcp.World.Mailbox()
-	go func() {
-		line, err := tcp.open(address, max(part, dialPatience))
-		box.Put(opened{line, err})
-	}()
+	tcp.guard.Lock()
+	one := tcp.opening[address]
+	isFirst := one == nil || tcp.World.Now()-one.since > joinSpan
+	if isFirst {
+		if tcp.opening == nil {
+			tcp.opening = map[string]*opening{}
+		}
+		one = &opening{since: tcp.World.Now()}
+		tcp.opening[address] = one
+	}
+	one.waiters = append(one.waiters, box)
+	tcp.guard.Unlock()
+	if isFirst {
+		go func() {
+			line, err := tcp.open(address, max(part, dialPatience))
+			tcp.guard.Lock()
+			waiters := one.waiters
+			if tcp.opening[address] == one {
+				delete(tcp.opening, address)
+			}
+			tcp.guard.Unlock()
+			for _, box := range waiters {
+				box.Put(opened{line, err})
+			}
+		}()
+	}
 	got, ok := box.Take(part)
 	if !ok {
 		return nil, errOpening
 	}
-	one := got.(opened)
-	return one.line, one.err
+	came := got.(opened)
+	return came.line, came.err
 }
 
 type opened struct {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -272,3 +272,39 @@
 		t.Error("vacuous: no call got as far as being written")
 	}
 }
+
+func TestCallsShareOpenings(t *testing.T) {
+	Convey("many calls at once to an address that no line leads to open few lines", t, func() {
+		const calls = 20
+		world := loop.NewMachine()
+		server := rpc.NewServer()
+		So(server.Register(&Note{}), ShouldBeNil)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		go wire.Serve(world, listener, server)
+		var dials, begun atomic.Int64
+		areAll := make(chan struct{})
+		caller := &wire.TCP{World: world, Dial: func(network, address string, _ time.Duration) (net.Conn, error) {
+			dials.Add(1)
+			<-areAll // no line opens before all calls have begun
+			return net.Dial(network, address)
+		}}
+		var group sync.WaitGroup
+		var served atomic.Int64
+		for range calls {
+			group.Go(func() {
+				if begun.Add(1) == calls {
+					close(areAll)
+				}
+				length := 0
+				if caller.Call(listener.Addr().String(), "Note.Take", Text{Body: body}, &length, 10*time.Second) == nil && length == len(body) {
+					served.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		So(served.Load(), ShouldEqual, calls)
+		So(dials.Load(), ShouldBeBetween, 0, calls/2)
+	})
+}
