The way to a region that seems out of reach is closed, and tried by one request at a time

Now three replicas of another region in a row that are silent or not reached, with no sign of life from any other there, put the way in doubt: one request goes there every 600 ms, what may be sent once on a new connection, until something comes back. Its own region's replicas count by themselves, as before; where nothing else may serve, one in doubt is still better than none.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,6 +56,8 @@
 	Foreseen time.Duration
 	// Vouched is when the replica had last shown that it is alive.
 	Vouched time.Duration
+	// Doubted tells that the region seems to be out of reach, and this one tries it.
+	Doubted bool
 
 	routed   *Routed
 	seat     *engine
@@ -136,6 +138,7 @@
 	// engines are this daemon's knowledge of replicas, by id, for routed requests;
 	// readRate is how fast they read prompts, zero until learned.
 	engines  map[string]*engine
+	ways     map[string]*way // to other regions, by region
 	readRate float64
 	// base is what the first piece takes whatever the prompt, as learned.
 	base time.Duration
@@ -156,7 +159,7 @@
 
 // New makes a decider.
 func New(options Options) *Decider {
-	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, repeats: map[string]*budget{}}
+	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, ways: map[string]*way{}, repeats: map[string]*budget{}}
 	decider.counts.Declined = map[string]uint64{}
 	decider.window.totals = map[standing.Outcome]standing.Outcome{}
 	decider.tickets.init()
--- a/decide/export_test.go
+++ b/decide/export_test.go
@@ -27,3 +27,6 @@
 	}
 	return names
 }
+
+// WayTry is wayTry.
+const WayTry = wayTry
--- a/decide/route.go
+++ b/decide/route.go
@@ -260,7 +260,7 @@
 				soon(wait)
 				continue
 			}
-			wait := seat.vitals.opens(now, route.Repeatable())
+			wait := max(seat.vitals.opens(now, route.Repeatable()), decider.closed(region, now))
 			if wait > 0 || now < seat.shunned || !seat.opens(now, route.Repeatable()) {
 				soon(max(wait, seat.shunned-now, firstShun/2))
 				shunned = append(shunned, prospect{row: row, place: place, seat: seat})
@@ -618,7 +618,10 @@
 		Replica: best.row.Replica, Address: best.place.Address, Version: best.row.Version, Boot: best.place.Boot, Region: best.place.Region,
 		Serial: view.Serial, Cost: 1, Trial: best.row.Trial, Spill: best.place.Region != decider.Self.Region, call: &routed.call,
 		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat, isCold: best.place.Warm < 1,
-		Vouched: seat.vouched,
+		Vouched: seat.vouched, Doubted: decider.isDoubted(best.place.Region),
+	}
+	if selection.Doubted {
+		decider.ways[best.place.Region].tried = now
 	}
 	seat.running++
 	seat.region, seat.model, seat.vitals.asked = best.place.Region, best.row.Model, now
@@ -644,6 +647,7 @@
 	defer decider.guard.Unlock()
 	seat := selection.seat
 	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	decider.alive(seat)
 	if seat.waits > 0 {
 		seat.silent = now
 	}
@@ -712,6 +716,7 @@
 	}
 	decider.wary = now + warySpan
 	decider.shun(seat, now)
+	decider.missed(seat, now)
 	return true
 }
 
@@ -722,6 +727,7 @@
 	defer decider.guard.Unlock()
 	seat := selection.seat
 	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	decider.alive(seat)
 }
 
 // silence is how long a replica may say nothing at all while something is to come from
@@ -772,6 +778,7 @@
 		case "replica_unreached", "replica_cut", "cut":
 			decider.wary = now + warySpan
 			decider.shun(selection.seat, now)
+			decider.missed(selection.seat, now)
 		case "replica_declined":
 			decider.shun(selection.seat, now)
 		}
--- a/decide/vitals_test.go
+++ b/decide/vitals_test.go
@@ -20,6 +20,9 @@
 	decider *decide.Decider
 	// fails gives what becomes of a request at the replica.
 	fails func(replica string) *verdict.Mishap
+	// hears, if set, is the same by the whole selection.
+	hears func(selection *decide.Selection) *verdict.Mishap
+	view  *permit.View
 	// sent are when requests went to which replica; failed and all count since the last look.
 	sent        map[string][]time.Duration
 	failed, all int
@@ -35,6 +38,7 @@
 	clinic := &clinic{Sim: sim.New(1), t: t, sent: map[string][]time.Duration{}, fails: func(string) *verdict.Mishap { return nil }}
 	t.Cleanup(clinic.Close)
 	view := routedView(replicas)
+	clinic.view = view
 	clinic.Start("x", func(node *sim.Node) {
 		clinic.decider = decide.New(decide.Options{World: node, Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
 		for {
@@ -60,6 +64,9 @@
 	clinic.all++
 	clinic.sent[selection.Replica] = append(clinic.sent[selection.Replica], node.Now())
 	mishap = clinic.fails(selection.Replica)
+	if clinic.hears != nil {
+		mishap = clinic.hears(selection)
+	}
 	loop.Sleep(node, 30*time.Millisecond)
 	if mishap == nil {
 		clinic.decider.Heard(selection, nil)
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -112,7 +112,8 @@
 		}
 		// What may not be sent again is lost where the replica has just gone; a new
 		// connection finds that out first, and costs little within the region.
-		ask.Anew = ask.Once && !selection.Spill && now-selection.Vouched > vouchedSpan
+		// Where the way to another region is in doubt, so does it there.
+		ask.Anew = ask.Once && (selection.Doubted || !selection.Spill && now-selection.Vouched > vouchedSpan)
 		ask.Gate = func() *verdict.Mishap {
 			_, mishap := executor.Decider.Gate(selection)
 			return mishap
