An order that a daemon knows to be taken is acknowledged there without rounds

Cause: an operator gives a try a second and goes on to another daemon. Each such try prepared and accepted the configuration anew under a higher ballot, as only that told that the order had been taken; with regions 80 ms apart and more, tries at three daemons outvoted one another and the roll-outs and evacuations besides, and took 1.0 to 3.1 s each. What an office has was decided, and the marks of what was taken stay in it, so it can say so by itself.

Ruled out: the decision alone (0.35 s at 80 ms), the holders (0.37 s, all answered).

TestARepeatedOrderTakesNoRounds, red before: 6 messages of rounds.

--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -121,6 +121,10 @@
 		return permit.Applied{}, problems
 	}
 	mark := marked(tree.Label(), rest, origin)
+	began := daemon.World.Now()
+	if applied, isTaken := daemon.Office.Again(mark); isTaken {
+		return daemon.ended(began, applied, nil)
+	}
 	return daemon.settle(func(config permit.Config) (permit.Config, error) {
 		switch have := config.Label(); {
 		case slices.Contains(config.Taken, mark):
@@ -146,6 +150,11 @@
 			err = register.ErrUncertain // of the second try alone it is known that it wrote nothing
 		}
 	}
+	return daemon.ended(began, applied, err)
+}
+
+// ended logs what became of an operator's change.
+func (daemon *Daemon) ended(began time.Duration, applied permit.Applied, err error) (permit.Applied, error) {
 	daemon.Log.Info("the operator's change has ended", zap.Uint64("serial", applied.Serial), zap.Duration("took", daemon.World.Now()-began),
 		zap.Duration("acknowledged_in", applied.Took), zap.Int("holders", applied.Holders), zap.Strings("expired", applied.Expired), zap.Error(err))
 	return applied, err
--- a/fleet/repeated_test.go
+++ b/fleet/repeated_test.go
@@ -55,3 +55,31 @@
 		}
 	})
 }
+
+// What a daemon knows to be taken it acknowledges by itself: rounds of its own would outvote
+// the colleague's that carries the same order out.
+func TestARepeatedOrderTakesNoRounds(t *testing.T) {
+	park := ordering(5)
+	defer park.Close()
+	document := labelled(park, 1, "a")
+	first, err := replace(park, "c1", document, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	park.Run(2 * time.Second)
+	if _, config, _ := park.Controls["c2"].Office.Current(); len(config.Taken) == 0 {
+		t.Fatal("vacuous: c2 does not know of the change")
+	}
+	count := func() int { return park.Messages["Register.Prepare"] + park.Messages["Register.Accept"] }
+	before := count()
+	again, err := replace(park, "c2", document, 0)
+	if err != nil || again.Serial != first.Serial {
+		t.Errorf("order: the same order at another daemon: serial %d, then %d %v", first.Serial, again.Serial, err)
+	}
+	if rounds := count() - before; before == 0 || rounds > 0 {
+		t.Errorf("order: %d messages of rounds for an order that is known to be taken", rounds)
+	}
+	if _, err := replace(park, "c2", labelled(park, 1, "b"), 0); err == nil {
+		t.Error("order: another document under the same label is taken for the same")
+	}
+}
--- a/permit/office.go
+++ b/permit/office.go
@@ -426,6 +426,21 @@
 	return time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
 }
 
+// Again acknowledges a document that was taken already, as far as this office knows; false
+// where it knows nothing of that. It needs no round: what an office has was decided, and that
+// a document was taken stays true. A change would take two, and outvote the very daemons that
+// write what it waits for.
+func (office *Office) Again(mark Mark) (applied Applied, isTaken bool) {
+	serial, config, tree := office.Current()
+	since, lapse, isKnown := office.since(serial)
+	if mark == "" || !isKnown || !slices.Contains(config.Taken, mark) {
+		return Applied{}, false
+	}
+	length := max(tree.Span("permit_ms", ""), lapse)
+	length += time.Duration(Drift * float64(length))
+	return office.acknowledge(serial, since, length), true
+}
+
 // Applied is how a configuration came to be acknowledged.
 type Applied struct {
 	Serial  uint64        `json:"serial"`
@@ -492,27 +507,27 @@
 		decided, length = taken, max(length, lapse)
 	}
 	length += time.Duration(Drift * float64(length))
-	return office.acknowledge(value, decided, length), nil
+	return office.acknowledge(value.Serial, decided, length), nil
 }
 
 // acknowledge tells the holders and waits for them, until the expiry of permits under
 // older configurations at the latest, whatever else does not answer. An offer tells the
 // serial alone, and may be made again and again: the holder fetches what it lacks.
-func (office *Office) acknowledge(value register.Value, decided, length time.Duration) Applied {
-	applied := Applied{Serial: value.Serial}
+func (office *Office) acknowledge(serial uint64, decided, length time.Duration) Applied {
+	applied := Applied{Serial: serial}
 	expiry := decided + length
 	// took has, by name, the incarnations that apply it, or a later one.
 	took := map[string]string{}
 	call := func(address string, patience time.Duration) string {
 		var taken Taken
-		offer := Offer{Serial: value.Serial, Patience: patience * 4 / 5} // the answer needs its time, too
-		if office.Net.Call(address, "Permit.Take", offer, &taken, patience) != nil || taken.Serial < value.Serial {
+		offer := Offer{Serial: serial, Patience: patience * 4 / 5} // the answer needs its time, too
+		if office.Net.Call(address, "Permit.Take", offer, &taken, patience) != nil || taken.Serial < serial {
 			return ""
 		}
 		return taken.Incarnation
 	}
 	var holders map[string]Record
-	for round := 0; !office.isAcknowledged(value.Serial) && (round > 0 || office.World.Now() < expiry); round++ {
+	for round := 0; !office.isAcknowledged(serial) && (round > 0 || office.World.Now() < expiry); round++ {
 		// Those that are members are told while the records are read, which say who else
 		// there is.
 		var live []session.Session
@@ -567,7 +582,7 @@
 		loop.Sleep(office.World, min(length/20, expiry-office.World.Now()))
 	}
 	office.guard.Lock()
-	office.acknowledged = max(office.acknowledged, value.Serial)
+	office.acknowledged = max(office.acknowledged, serial)
 	office.guard.Unlock()
 	applied.Took = office.World.Now() - decided
 	return applied
