--- a/fleet/replace_test.go
+++ b/fleet/replace_test.go
@@ -448,6 +448,7 @@
 // has not heard of it: no other data daemon fetches there, and it reads the configuration by
 // itself only now and then.
 func TestBegunGoesByTheNewest(t *testing.T) {
+	skipLong(t)
 	unknown := 0
 	for seed := uint64(1); seed <= 6; seed++ {
 		park := ordering(seed)
