Replicas are asked whether they are cold only once a request wants it

Now a request that finds a replica paced for want of a kept standing gives the reason, for a second, and it is looked each 30 ms instead of 300 while a region's standing is unkept.

--- a/dataplane/inquire.go
+++ b/dataplane/inquire.go
@@ -9,17 +9,22 @@
 )
 
 // inquireMost bounds how many replicas are asked at once; inquireSpan is how often it is
-// looked who is to be asked, besides each time that a view comes.
+// looked who is to be asked while some region's standing is kept by nobody.
 const (
 	inquireMost = 16
-	inquireSpan = 300 * time.Millisecond
+	inquireSpan = 30 * time.Millisecond
 )
 
 // inquire asks replicas how they do while nobody keeps their region's standing up to date, as
 // after a power cut of all daemons: until one has said itself that it is not cold, it gets
 // only this daemon's part of what a cold one bears.
 func (daemon *Daemon) inquire() {
-	daemon.inquirer.Run(daemon.World, func() time.Duration { return inquireSpan }, func() bool {
+	daemon.inquirer.Run(daemon.World, func() time.Duration {
+		if len(daemon.Holder.View().Unkept) > 0 {
+			return inquireSpan
+		}
+		return daemon.span()
+	}, func() bool {
 		list := daemon.Decider.Inquiries()
 		if len(list) == 0 {
 			return true
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -135,6 +135,10 @@
 	isCold := func(place standing.Place) bool {
 		return decider.isCold(view, &place, decider.engine(place.ID), world.Now())
 	}
+	if len(decider.Inquiries()) > 0 {
+		t.Error("asked though no request wants it")
+	}
+	decider.wanted = world.Now()
 	list := decider.Inquiries()
 	if len(list) != 1 || list[0] != (Inquiry{Replica: "i-1", Address: "x", Boot: "i-1", Path: "/v"}) || len(decider.Inquiries()) > 0 {
 		t.Fatalf("asked are %v", list)
@@ -153,6 +157,7 @@
 		t.Errorf("it is %v, its next life %v, one that the standing shows as cold %v", isCold(warm), isCold(next), isCold(cold))
 	}
 	world.Run(1999 * time.Millisecond)
+	decider.wanted = world.Now()
 	if isCold(warm) || len(decider.Inquiries()) != 1 {
 		t.Error("its word ends before a permit's length, or it is not asked again before")
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -137,8 +137,10 @@
 	tickets tickets
 	// engines are this daemon's knowledge of replicas, by id, for routed requests;
 	// readRate is how fast they read prompts, zero until learned.
-	engines  map[string]*engine
-	ways     map[string]*way // to other regions, by region
+	engines map[string]*engine
+	ways    map[string]*way // to other regions, by region
+	// wanted is when a request last found a replica paced only as nobody keeps its standing.
+	wanted   time.Duration
 	readRate float64
 	// base is what the first piece takes whatever the prompt, as learned.
 	base time.Duration
--- a/decide/inquiry.go
+++ b/decide/inquiry.go
@@ -35,14 +35,19 @@
 	return word.isWarm && word.boot == boot && now-word.asked < span
 }
 
+// wantedSpan is for how long a request that found a replica paced, as nobody keeps its
+// standing, gives a reason to ask.
+const wantedSpan = time.Second
+
 // Inquiries gives the replicas to be asked now, those of this daemon's own region first;
-// each comes again only after a while. What they answer is for Inquired.
+// each comes again only after a while, and none while no request wants them. What they
+// answer is for Inquired.
 func (decider *Decider) Inquiries() (list []Inquiry) {
 	view := decider.Holder()
 	now := decider.World.Now()
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
-	if view.Tree == nil {
+	if view.Tree == nil || decider.wanted == 0 || now-decider.wanted >= wantedSpan {
 		return nil
 	}
 	span := view.Tree.Span("permit_ms", "")
--- a/decide/route.go
+++ b/decide/route.go
@@ -257,6 +257,9 @@
 			}
 			seat := decider.engine(place.ID)
 			if wait := decider.paced(view, known, place, seat, now); wait > 0 {
+				if place.Warm >= 1 {
+					decider.wanted = now
+				}
 				soon(wait)
 				continue
 			}
--- a/decide/way.go
+++ b/decide/way.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// way is what this daemon knows of the way to another region. Where several of its replicas
+// way is a circuit breaker for another region: what this daemon knows of the way there. Where several of its replicas
 // in a row are shunned for their connections or their silence, and nothing comes from any
 // other there, the way is closed, and not each replica by itself.
 //
