A lapsed duty empties no region: a standing is computed in one tenure of the duty

Cause: a duty lapses while its holder sees no majority, and the region's loops then empty their table, to fill it anew when the duty is back, under the same serial. A computation that waited for its reads meanwhile found the table empty and wrote a standing without replicas, which its swap let through.

Ruled out: the platform's list, probes, the loss of power, after which it was seen.

Now computations and turns of runs go on only in the tenure in which they began. Besides, a replica whose probes tell its life is not taken for another one after its table was filled from a standing.

--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -442,7 +442,11 @@
 	daemon.guard.Unlock()
 	for _, one := range regions {
 		if serial, held := daemon.Duties.Held(RegionDuty + one.name); held && tree != nil {
-			state := RegionState{Duty: serial, Replicas: one.rows(tree)}
+			one.guard.Lock()
+			during := one.tenure
+			one.guard.Unlock()
+			replicas, _ := one.rows(tree, during)
+			state := RegionState{Duty: serial, Replicas: replicas}
 			one.guard.Lock()
 			state.Standing, state.ListError, state.RollError = one.before, one.listErr, one.failed
 			one.guard.Unlock()
--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -47,24 +47,31 @@
 	return tree.Engine(one.Model)
 }
 
-// boot is the life that a standing shows.
+// boot is the life that a standing shows: what its probes told, or, where they tell nothing
+// of that, the name under which the platform lists it.
 func (one *watched) boot(tree *settings.Tree) string {
-	if one.engine(tree) != nil {
+	if one.vitals.Boot == "" && one.engine(tree) != nil {
 		return one.ID
 	}
 	return one.vitals.Boot
 }
 
+// tenure is one holding of a duty without a break: under which serial, none when zero, and
+// since when.
+type tenure struct {
+	duty  uint64
+	since time.Duration
+}
+
 // region is one region's tables and loops. They run while this daemon holds the
 // region's duty and are emptied when it does not.
 //
 // Lock order: guard alone; nothing waits under it.
 type region struct {
 	*Daemon
-	name    string
-	guard   sync.Mutex
-	duty    uint64
-	since   time.Duration // when the duty was taken
+	name  string
+	guard sync.Mutex
+	tenure
 	table   map[string]*watched
 	seeded  bool // the table has been filled, from the last standing or the platform
 	listAt  time.Duration
@@ -175,12 +182,13 @@
 		serial, held := region.Duties.Held(RegionDuty + region.name)
 		region.guard.Lock()
 		if !held {
-			region.duty, region.seeded, region.before = 0, false, nil
+			region.tenure, region.seeded, region.before = tenure{}, false, nil
 			region.table = map[string]*watched{}
 			region.runner = nil
 		} else if region.duty != serial {
-			region.duty, region.seeded, region.before, region.idle = serial, false, nil, nil
-			region.runner, region.since, region.listAt = nil, region.World.Now(), 0
+			region.tenure = tenure{serial, region.World.Now()}
+			region.seeded, region.before, region.idle = false, nil, nil
+			region.runner, region.listAt = nil, 0
 		}
 		region.guard.Unlock()
 		if tree := region.tree(); held && tree != nil {
@@ -379,13 +387,17 @@
 	return now < one.condemned
 }
 
-// rows gives the replicas' table for the pure functions.
-func (region *region) rows(tree *settings.Tree) []standing.Replica {
+// rows gives the replicas' table for the pure functions; false where it is not the table of
+// the tenure any more, which was lost or began anew meanwhile: then the table was emptied.
+func (region *region) rows(tree *settings.Tree, during tenure) ([]standing.Replica, bool) {
 	now := region.World.Now()
 	dark := tree.Span("dark_ms", region.name)
 	tallies := region.tallies()
 	region.guard.Lock()
 	defer region.guard.Unlock()
+	if region.tenure != during || !region.seeded {
+		return nil, false
+	}
 	dim, all := 0, 0 // engines' replicas that do not answer probes, and all of them
 	for _, one := range region.table {
 		if one.engine(tree) != nil && !one.leaving && !one.unlisted {
@@ -419,7 +431,7 @@
 		out = append(out, row)
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
-	return out
+	return out, true
 }
 
 // daemons gives the data daemons' table.
@@ -435,12 +447,15 @@
 // restore fills the table with the names of the last standing, so that a new
 // holder of the duty does not take a region for empty while the platform lags.
 // In which life the replicas are, and what they hold where that is ordered, only probes
-// can say.
-func (region *region) restore(last standing.Standing) {
+// can say. It is false, and nothing is filled, where the tenure is over.
+func (region *region) restore(last standing.Standing, during tenure) bool {
 	now := region.World.Now()
+	tree := region.tree()
 	region.guard.Lock()
 	defer region.guard.Unlock()
-	tree := region.tree()
+	if region.tenure != during {
+		return false
+	}
 	for _, place := range last.Places {
 		if region.table[place.ID] == nil {
 			one := &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now}
@@ -453,16 +468,15 @@
 			region.table[place.ID] = one
 		}
 	}
-	if len(last.Places) > 0 {
-		region.seeded = true
-	}
+	region.seeded = region.seeded || len(last.Places) > 0
+	return true
 }
 
 // compute makes the standing and writes it when it says something new.
 func (region *region) compute(serial uint64, tree *settings.Tree) {
 	now := region.World.Now()
 	region.guard.Lock()
-	before, seeded, written := region.before, region.seeded, region.written
+	before, seeded, written, during := region.before, region.seeded, region.written, region.tenure
 	region.guard.Unlock()
 	models := tree.Models(region.name)
 	keys := []string{permit.StandingPrefix + region.name}
@@ -480,7 +494,9 @@
 				return
 			}
 		}
-		region.restore(last)
+		if !region.restore(last, during) {
+			return
+		}
 		before, written, seeded = &last, now, seeded || len(last.Places) > 0
 	}
 	// Until every replica was probed or is dark, the last standing stays.
@@ -493,8 +509,12 @@
 		evacuated[zone] = true
 	}
 	region.handedBack(tree, evacuated)
+	replicas, isMine := region.rows(tree, during)
+	if !isMine {
+		return
+	}
 	input := standing.Input{
-		Region: region.name, Tree: tree, Duty: serial, Evacuated: evacuated, Replicas: region.rows(tree),
+		Region: region.name, Tree: tree, Duty: serial, Evacuated: evacuated, Replicas: replicas,
 		Gone: region.Table.Gone(), Routes: map[string]standing.Route{}, Before: before, Since: now - written,
 	}
 	input.Daemons, _ = region.daemons()
@@ -621,13 +641,17 @@
 	if region.runner == nil {
 		region.runner = &rollout.Runner{World: region.World, Objects: region.Objects, Book: region.Book, Client: region.Replicas, Point: region.Point}
 	}
-	runner, seeded, routes, before, idle := region.runner, region.seeded, region.routes, region.before, region.idle
+	runner, routes, before, idle, during := region.runner, region.routes, region.before, region.idle, region.tenure
 	region.guard.Unlock()
-	if !seeded || idle == nil || region.unprobed(tree) {
+	if idle == nil || region.unprobed(tree) {
+		return
+	}
+	replicas, isMine := region.rows(tree, during)
+	if !isMine {
 		return
 	}
 	_, whole, _ := region.Office.Current()
-	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: region.rows(tree), Routes: routes, Standing: before, Watched: region.Table.Watched(), Idle: idle}
+	scene := rollout.Scene{Region: region.name, Duty: serial, Tree: tree, Evacuated: map[string]bool{}, Replicas: replicas, Routes: routes, Standing: before, Watched: region.Table.Watched(), Idle: idle}
 	scene.Daemons, scene.Incarnations = region.daemons()
 	for _, zone := range whole.Evacuated {
 		scene.Evacuated[zone] = true
