--- a/decide/way.go
+++ b/decide/way.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// way is a circuit breaker for another region: what this daemon knows of the way there. Where several of its replicas
-// in a row are shunned for their connections or their silence, and nothing comes from any
-// other there, the way is closed, and not each replica by itself.
+// way is a circuit breaker for another region: what this daemon knows of the way there.
+// Where several of its replicas in a row are shunned for their connections or their silence,
+// and nothing comes from any other there, the way is closed, and not each replica by itself.
 //
 // Invariants: missed are the replicas that were shunned since something last came from the
 // region; the way is in doubt exactly while they are enough, and while it is, one request at
