One place each for a default limit, a permit's drift, and a rendezvous weight

Read again as a whole, the change had written four things a second time: - the default of a limit where there is no configuration yet, in five places, two of them new: a tree that is not there has the defaults now, as it can be revised already; - the drift added to a permit's length before an acknowledgement, at both callers of acknowledge; - the mixing of an FNV sum for rendezvous weights, in session and decide: session.Spread; - two locks in a row for the state of a region that is shown to operators.

No figure changes: the same defaults, lengths and weights.

--- a/controlplane/daemon.go
+++ b/controlplane/daemon.go
@@ -139,12 +139,11 @@
 
 // limit is a limit of time in force for the whole system.
 func (daemon *Daemon) limit(name string) time.Duration {
+	var tree *settings.Tree
 	if daemon.Office != nil {
-		if _, _, tree := daemon.Office.Current(); tree != nil {
-			return tree.Span(name, "")
-		}
+		_, _, tree = daemon.Office.Current()
 	}
-	return time.Duration(settings.Limits[name].Default) * time.Millisecond
+	return tree.Span(name, "")
 }
 
 // spans is a ratio of the session bound, as a loop's span.
--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -444,12 +444,9 @@
 		if serial, held := daemon.Duties.Held(RegionDuty + one.name); held && tree != nil {
 			one.guard.Lock()
 			during := one.tenure
+			state := RegionState{Duty: serial, Standing: one.before, ListError: one.listErr, RollError: one.failed}
 			one.guard.Unlock()
-			replicas, _ := one.rows(tree, during)
-			state := RegionState{Duty: serial, Replicas: replicas}
-			one.guard.Lock()
-			state.Standing, state.ListError, state.RollError = one.before, one.listErr, one.failed
-			one.guard.Unlock()
+			state.Replicas, _ = one.rows(tree, during)
 			out.Regions[one.name] = state
 		}
 	}
--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -88,12 +88,11 @@
 }
 
 func (daemon *Daemon) span() time.Duration {
+	var tree *settings.Tree
 	if daemon.Holder != nil {
-		if tree := daemon.Holder.View().Tree; tree != nil {
-			return tree.Span("session_ms", "")
-		}
+		tree = daemon.Holder.View().Tree
 	}
-	return time.Duration(settings.Limits["session_ms"].Default) * time.Millisecond
+	return tree.Span("session_ms", "")
 }
 
 // Leaving tells whether a planned stop has begun: callers are told to locate anew
@@ -203,10 +202,7 @@
 	daemon.Client.Say(session.Beat{Member: daemon.Self(), Report: daemon.Decider.Report()})
 	// The word needs a beat, a share among control daemons and a renewal of the
 	// colleagues' permits to get into every locate.
-	length := time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
-	if tree := daemon.Holder.View().Tree; tree != nil {
-		length = tree.Span("permit_ms", "")
-	}
+	length := daemon.Holder.View().Tree.Span("permit_ms", "")
 	word := daemon.span()/3 + length/permit.Renewals + length/10
 	loop.Sleep(daemon.World, min(word, grace/4))
 	// Some callers go by older words than that, or can't get a new one: they are served
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -621,9 +621,7 @@
 	for at := range len(name) {
 		value = (value ^ uint64(name[at])) * prime
 	}
-	value ^= value >> 32
-	value *= 0xd6e8feb86659fd93
-	return value ^ value>>32
+	return session.Spread(value)
 }
 
 // Prefix hashes the beginning of a prompt.
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -180,10 +180,7 @@
 const Renewals = 3
 
 func (holder *Holder) span() time.Duration {
-	if tree := holder.View().Tree; tree != nil {
-		return tree.Span("permit_ms", "")
-	}
-	return time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
+	return holder.View().Tree.Span("permit_ms", "")
 }
 
 // Renew asks once. The time counts from before the ask.
--- a/permit/office.go
+++ b/permit/office.go
@@ -420,10 +420,8 @@
 
 // span is a permit's length.
 func (office *Office) span() time.Duration {
-	if _, _, tree := office.Current(); tree != nil {
-		return tree.Span("permit_ms", "")
-	}
-	return time.Duration(settings.Limits["permit_ms"].Default) * time.Millisecond
+	_, _, tree := office.Current()
+	return tree.Span("permit_ms", "")
 }
 
 // Again acknowledges a document that was taken already, as far as this office knows; false
@@ -436,9 +434,7 @@
 	if mark == "" || !isKnown || !slices.Contains(config.Taken, mark) {
 		return Applied{}, false
 	}
-	length := max(tree.Span("permit_ms", ""), lapse)
-	length += time.Duration(Drift * float64(length))
-	return office.acknowledge(serial, since, length), true
+	return office.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse)), true
 }
 
 // Applied is how a configuration came to be acknowledged.
@@ -506,15 +502,16 @@
 		// permits under those before it run out from then on, not from now.
 		decided, length = taken, max(length, lapse)
 	}
-	length += time.Duration(Drift * float64(length))
 	return office.acknowledge(value.Serial, decided, length), nil
 }
 
 // acknowledge tells the holders and waits for them, until the expiry of permits under
-// older configurations at the latest, whatever else does not answer. An offer tells the
-// serial alone, and may be made again and again: the holder fetches what it lacks.
+// older configurations at the latest, whatever else does not answer: the longest of those
+// has the length, by the clock of its holder. An offer tells the serial alone, and may be
+// made again and again: the holder fetches what it lacks.
 func (office *Office) acknowledge(serial uint64, decided, length time.Duration) Applied {
 	applied := Applied{Serial: serial}
+	length += time.Duration(Drift * float64(length))
 	expiry := decided + length
 	// took has, by name, the incarnations that apply it, or a later one.
 	took := map[string]string{}
--- a/session/session.go
+++ b/session/session.go
@@ -431,10 +431,15 @@
 func drawn(name, address string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(name + "/" + address))
-	weight := sum.Sum64()
-	weight ^= weight >> 32
-	weight *= 0xd6e8feb86659fd93
-	return weight ^ weight>>32
+	return Spread(sum.Sum64())
+}
+
+// Spread mixes an FNV sum, of which texts that differ in their last bytes alone have nearly the
+// same, so that it serves as a rendezvous weight.
+func Spread(sum uint64) uint64 {
+	sum ^= sum >> 32
+	sum *= 0xd6e8feb86659fd93
+	return sum ^ sum>>32
 }
 
 // shunnedSpans is for how many sessions a control daemon that gave no good answer
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -387,8 +387,12 @@
 	return tree.regions[place]
 }
 
-// Limit is a limit at a place: a zone, a region, or empty for the whole.
+// Limit is a limit at a place: a zone, a region, or empty for the whole. Where there is no
+// tree yet it is the default.
 func (tree *Tree) Limit(name, place string) float64 {
+	if tree == nil {
+		return Limits[name].Default
+	}
 	if leaf, set := tree.leaves(place)["limits."+name]; set {
 		return leaf.Value.Num
 	}
