--- a/fleet/duel_test.go
+++ b/fleet/duel_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"swifttiller/fleet"
 )
 
 // TestPermitsGoOnThroughChanges: on a grown fleet whose regions are far apart permits are
@@ -21,15 +19,7 @@
 	for seed := uint64(1); seed <= 3; seed++ {
 		plan := grown(64, 30, 6)
 		plan.Document = strings.Replace(plan.Document, `"limits":{`, limitsOf5, 1)
-		park := fleet.NewPark(seed, plan)
-		for _, from := range park.Names() {
-			for _, to := range park.Names() {
-				if fleet.Region(park.Zone(from)) != fleet.Region(park.Zone(to)) {
-					park.Delay(from, to, far)
-				}
-			}
-		}
-		park.Run(15 * time.Second)
+		park := apartBy(far, seed, plan)
 		for turn := range 6 {
 			label := uint64(turn + 1)
 			document := bytes.Replace([]byte(park.Document), []byte("{"), fmt.Appendf(nil, `{"label":%d,`, label), 1)
--- a/fleet/grown_test.go
+++ b/fleet/grown_test.go
@@ -14,12 +14,15 @@
 )
 
 // apart is a calm grown fleet whose regions are apart.
-func apart(seed uint64, plan fleet.Plan) *fleet.Park {
+func apart(seed uint64, plan fleet.Plan) *fleet.Park { return apartBy(between, seed, plan) }
+
+// apartBy is apart with so long a way between regions.
+func apartBy(way time.Duration, seed uint64, plan fleet.Plan) *fleet.Park {
 	park := fleet.NewPark(seed, plan)
 	for _, from := range park.Names() {
 		for _, to := range park.Names() {
 			if fleet.Region(park.Zone(from)) != fleet.Region(park.Zone(to)) {
-				park.Delay(from, to, between)
+				park.Delay(from, to, way)
 			}
 		}
 	}
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -43,20 +44,22 @@
 	return park.Now()
 }
 
+// calmGrown is a calm grown fleet under limitsOf5, and its data daemons.
+func calmGrown(seed uint64) (*fleet.Park, []string) {
+	plan := grown(24, 30, 6)
+	plan.Document = strings.Replace(plan.Document, `"limits":{`, limitsOf5, 1)
+	plan.Least = 0
+	park := apart(seed, plan)
+	return park, slices.Sorted(maps.Keys(park.Datas))
+}
+
 // TestLeavingIsToldAtOnce: on a grown fleet a replica that leaves is out of every data
 // daemon's view soon after the platform lists it, at the daemons, too, whose asks for a
 // permit go unanswered just then.
 func TestLeavingIsToldAtOnce(t *testing.T) {
 	skipLong(t)
-	plan := grown(24, 30, 6)
-	plan.Document = strings.Replace(plan.Document, `"limits":{`, limitsOf5, 1)
-	plan.Least = 0
-	park := apart(7, plan)
+	park, names := calmGrown(7)
 	defer park.Close()
-	var names []string
-	for name := range park.Datas {
-		names = append(names, name)
-	}
 	calm, harmed := time.Duration(0), time.Duration(0)
 	for turn := range 12 {
 		one := park.Plan.Replicas[turn]
@@ -79,7 +82,7 @@
 		}
 		park.Run(time.Duration(turn) * 97 * time.Millisecond) // at another phase each time
 		park.LeaveByPlatform(one.ID)
-		park.Run(plan.Lag)
+		park.Run(park.Plan.Lag)
 		listed := park.Now()
 		park.Split(asked, asking, true)
 		took := lastSeen(t, park, one.ID, names) - listed
@@ -101,15 +104,8 @@
 // view soon after its region's standing can say so, and in all again once it is back.
 func TestDarkIsToldAtOnce(t *testing.T) {
 	skipLong(t)
-	plan := grown(24, 30, 6)
-	plan.Document = strings.Replace(plan.Document, `"limits":{`, limitsOf5, 1)
-	plan.Least = 0
-	park := apart(8, plan)
+	park, names := calmGrown(8)
 	defer park.Close()
-	var names []string
-	for name := range park.Datas {
-		names = append(names, name)
-	}
 	worst := time.Duration(0)
 	for turn := range 10 {
 		name := park.Plan.Replicas[turn].ID
--- a/fleet/power_test.go
+++ b/fleet/power_test.go
@@ -1,12 +1,24 @@
 package fleet_test
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"swifttiller/fleet"
 )
 
+// powerCut ends all daemons, and gives their names in order.
+func powerCut(park *fleet.Park) (controls, datas []string) {
+	controls, datas = slices.Sorted(maps.Keys(park.Controls)), slices.Sorted(maps.Keys(park.Datas))
+	for _, name := range slices.Concat(controls, datas) {
+		park.Crash(name)
+	}
+	return controls, datas
+}
+
 // TestPowerCutStandingsAreKeptSoon: after a power cut of all daemons, of which the control
 // daemons come back one by one, all data daemons have permits 0.5 s after the last of
 // them, and standings that are kept up to date 1.8 s after it; by those before, all
@@ -18,18 +30,7 @@
 		plan := grown(36, 90, 6)
 		plan.Document = strings.Replace(plan.Document, `"limits":{`, `"limits":{"alone_ms":60000,"permit_ms":1800,"session_ms":1200,"platform_ms":1000,"dark_ms":900,"probe_ms":450,`, 1)
 		park := apart(seed, plan)
-		var controls, datas []string
-		for name := range park.Controls {
-			controls = append(controls, name)
-		}
-		for name := range park.Datas {
-			datas = append(datas, name)
-		}
-		slices.Sort(controls)
-		slices.Sort(datas)
-		for _, name := range slices.Concat(controls, datas) {
-			park.Crash(name)
-		}
+		controls, datas := powerCut(park)
 		park.Run(time.Second)
 		for _, name := range datas {
 			park.StartData(name)
@@ -76,18 +77,7 @@
 	plan := grown(36, 9, 6)
 	park := apart(1, plan)
 	defer park.Close()
-	var controls, datas []string
-	for name := range park.Controls {
-		controls = append(controls, name)
-	}
-	for name := range park.Datas {
-		datas = append(datas, name)
-	}
-	slices.Sort(controls)
-	slices.Sort(datas)
-	for _, name := range slices.Concat(controls, datas) {
-		park.Crash(name)
-	}
+	controls, datas := powerCut(park)
 	park.Run(3 * time.Second)             // the permits of before have ended
 	asked := map[string]map[string]bool{} // who asked each control daemon before it had a permit
 	park.OnBytes = func(from, to, method string, _ int) {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -130,15 +130,20 @@
 	})
 }
 
+// noting is a server of notes that is to be served, and where it listens.
+func noting() (world *loop.Machine, server *rpc.Server, listener net.Listener) {
+	server = rpc.NewServer()
+	So(server.Register(&Note{}), ShouldBeNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	return loop.NewMachine(), server, listener
+}
+
 // TestLinesThatOpenLate: where a connection takes longer to open than a call may wait for
 // it, a later call goes over the one that opened meanwhile; otherwise none ever could.
 func TestLinesThatOpenLate(t *testing.T) {
 	Convey("over a connection that opens after the call gave up", t, func() {
-		world := loop.NewMachine()
-		server := rpc.NewServer()
-		So(server.Register(&Note{}), ShouldBeNil)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
+		world, server, listener := noting()
 		defer listener.Close()
 		go wire.Serve(world, listener, server)
 		var dials atomic.Int64
@@ -160,7 +165,7 @@
 			err = caller.Call(listener.Addr().String(), "Note.Take", Text{Body: body}, &length, patience)
 			return length, err
 		}
-		_, err = call(10 * time.Millisecond)
+		_, err := call(10 * time.Millisecond)
 		So(err, ShouldNotBeNil)
 		So(wire.Unsent(err), ShouldBeTrue)
 		So(time.Duration(allowed.Load()), ShouldBeBetween, 300*time.Millisecond, time.Second)
@@ -177,11 +182,7 @@
 // and a line without a counter says the same.
 func TestCountedCalls(t *testing.T) {
 	Convey("over a real connection", t, func() {
-		world := loop.NewMachine()
-		server := rpc.NewServer()
-		So(server.Register(&Note{}), ShouldBeNil)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
+		world, server, listener := noting()
 		defer listener.Close()
 		measured := &measured{Listener: listener}
 		go wire.Serve(world, measured, server)
@@ -276,11 +277,7 @@
 func TestCallsShareOpenings(t *testing.T) {
 	Convey("many calls at once to an address that no line leads to open few lines", t, func() {
 		const calls = 20
-		world := loop.NewMachine()
-		server := rpc.NewServer()
-		So(server.Register(&Note{}), ShouldBeNil)
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
+		world, server, listener := noting()
 		defer listener.Close()
 		go wire.Serve(world, listener, server)
 		var dials, begun atomic.Int64
