A look-up leads to homes, and to those that still serve, before it leads elsewhere

Cause: where all data daemons of a region are about to stop, a look-up led its callers to any other region. Since a stopping daemon serves late comers stops take longer and overlap. Ruled out: selection of replicas, and stale lists of members.

--- /dev/null
+++ b/decide/doors_test.go
@@ -0,0 +1,69 @@
+package decide_test
+
+import (
+	"slices"
+	"testing"
+
+	"swifttiller/decide"
+	"swifttiller/loop"
+	"swifttiller/permit"
+	"swifttiller/session"
+	"swifttiller/settings"
+	"swifttiller/sim"
+)
+
+// TestDoorsLeadHome: where a caller's region has no daemon left that stays, it is led to
+// the homes of its host's routes, or to those of its own that still serve; elsewhere only
+// where there are none of these.
+func TestDoorsLeadHome(t *testing.T) {
+	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":64}}},"engines":{"m":{"probe_path":"/vitals"}},
+ "routes":[{"name":"r","host":"home.example","prefix":"/x/","kind":"safe","timeout_ms":1000,"homes":["a","b"],"shares":[{"model":"m","weight":1}]},
+  {"name":"s","host":"home.example","prefix":"/y/","kind":"safe","timeout_ms":1000,"homes":["b","a"],"shares":[{"model":"m","weight":1}]},
+  {"name":"t","host":"any.example","prefix":"/x/","kind":"safe","timeout_ms":1000,"shares":[{"model":"m","weight":1}]}],
+ "regions":{"a":{"zones":{"a-1":{},"a-2":{}}},"b":{"zones":{"b-1":{}}},"c":{"zones":{"c-1":{}}}}}`))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	members := []session.Member{
+		{Name: "a1", Region: "a", Zone: "a-1"}, {Name: "a2", Region: "a", Zone: "a-2"}, {Name: "b1", Region: "b", Zone: "b-1"}, {Name: "b2", Region: "b", Zone: "b-1"}, {Name: "c1", Region: "c", Zone: "c-1"},
+	}
+	world := sim.New(1)
+	t.Cleanup(world.Close)
+	for _, one := range []struct {
+		what, host, region, zone string
+		leaving, gone            []string
+		want                     []string
+	}{
+		{what: "the zone", host: "home.example", region: "a", zone: "a-1", want: []string{"a1"}},
+		{what: "the region", host: "home.example", region: "a", zone: "a-1", leaving: []string{"a1"}, want: []string{"a2"}},
+		{what: "the other home", host: "home.example", region: "a", zone: "a-1", leaving: []string{"a1", "a2"}, want: []string{"b1", "b2"}},
+		{what: "its own region, which is no home", host: "home.example", region: "c", zone: "c-1", want: []string{"c1"}},
+		{what: "both homes", host: "home.example", region: "c", zone: "c-1", leaving: []string{"c1"}, want: []string{"a1", "a2", "b1", "b2"}},
+		{what: "anywhere that stays, without homes", host: "any.example", region: "b", zone: "b-1", leaving: []string{"b1", "b2"}, want: []string{"a1", "a2", "c1"}},
+		{what: "those of its own that still serve", host: "home.example", region: "b", zone: "b-1", leaving: []string{"a1", "a2", "b1", "b2"}, want: []string{"b1", "b2"}},
+		{what: "a home's that still serve", host: "home.example", region: "b", zone: "b-1", leaving: []string{"a1"}, gone: []string{"a2", "b1", "b2"}, want: []string{"a1"}},
+		{what: "elsewhere when nothing else is left", host: "home.example", region: "b", zone: "b-1", gone: []string{"a1", "a2", "b1", "b2"}, want: []string{"c1"}},
+		{what: "an unknown host as one without homes", host: "other.example", region: "b", zone: "b-1", leaving: []string{"b1", "b2"}, want: []string{"a1", "a2", "c1"}},
+		{what: "all leave", host: "any.example", region: "c", zone: "c-1", leaving: []string{"a1", "a2", "b1", "b2", "c1"}, want: []string{"c1"}},
+	} {
+		view := &permit.View{Tree: tree, Expiry: loop.Forever}
+		for _, member := range members {
+			member.Role, member.Door, member.Leaving = session.Data, member.Name, slices.Contains(one.leaving, member.Name)
+			if !slices.Contains(one.gone, member.Name) {
+				view.Members = append(view.Members, member)
+			}
+		}
+		var got []string
+		world.Start("asked", func(node *sim.Node) {
+			decider := decide.New(decide.Options{World: node, Holder: func() *permit.View { return view }, Self: view.Members[0]})
+			for _, member := range decider.Doors(one.host, one.region, one.zone) {
+				got = append(got, member.Door)
+			}
+		})
+		world.Run(1)
+		world.Kill("asked")
+		if !slices.Equal(got, one.want) {
+			t.Errorf("%s: got %v, want %v", one.what, got, one.want)
+		}
+	}
+}
--- a/decide/route.go
+++ b/decide/route.go
@@ -797,34 +797,48 @@
 	return leastSilence + silenceTimes*max(selection.Foreseen, decider.reading(selection.routed.Tokens))
 }
 
-// Doors gives the daemons that callers may go to, those in the zone first, then those
-// in the region, then the rest; none while this daemon has no permit.
-func (decider *Decider) Doors(region, zone string) []session.Member {
+// Doors gives the daemons that callers in the zone may go to with requests for the host:
+// those in the zone; else in the region; else where all of the host's routes have a home;
+// else those there that are about to stop, who serve late comers; else any. None while
+// this daemon has no permit.
+func (decider *Decider) Doors(host, region, zone string) []session.Member {
 	view := decider.Holder()
 	if !view.Serves(decider.World.Now()) {
 		return nil
 	}
-	var out []session.Member
-	for _, one := range view.Members {
-		if one.Role == session.Data && !one.Leaving && one.Door != "" {
-			out = append(out, one)
-		}
+	homes := map[string]bool{}
+	for _, home := range view.Tree.Regions() {
+		homes[home] = view.Tree.AtHome(host, home)
 	}
+	const none = 6
 	distance := func(one session.Member) int {
+		isHome := homes[one.Region]
 		switch {
+		case one.Role != session.Data || one.Door == "" || one.Leaving && one.Region != region && !isHome:
+			return none
+		case one.Leaving && one.Region == region:
+			return 3
+		case one.Leaving:
+			return 4
 		case one.Zone == zone:
 			return 0
 		case one.Region == region:
 			return 1
+		case isHome:
+			return 2
 		}
-		return 2
+		return 5
 	}
-	sort.SliceStable(out, func(a, b int) bool { return distance(out[a]) < distance(out[b]) })
-	near := 0
-	for near < len(out) && distance(out[near]) == distance(out[0]) {
-		near++
+	var out []session.Member
+	nearest := none
+	for _, one := range view.Members {
+		if at := distance(one); at < nearest {
+			out, nearest = append(out[:0], one), at
+		} else if at == nearest && at < none {
+			out = append(out, one)
+		}
 	}
-	return out[:near]
+	return out
 }
 
 // Sweep forgets engines of replicas that no standing shows.
--- a/fleet/routed.go
+++ b/fleet/routed.go
@@ -188,7 +188,7 @@
 		park.Deliver(node, name, func(at *sim.Node) {
 			var out []string
 			daemon := park.Datas[name]
-			for _, one := range daemon.Decider.Doors(Region(zone), zone) {
+			for _, one := range daemon.Decider.Doors(caller.crowd.Host, Region(zone), zone) {
 				out = append(out, one.Door)
 			}
 			park.Deliver(at, node.Name, func(*sim.Node) { box.Put(out) })
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -109,6 +109,16 @@
 	return nil
 }
 
+// AtHome tells whether all routes of a host may be served in the region.
+func (tree *Tree) AtHome(host, region string) bool {
+	for _, route := range tree.routes[hostOf(host)] {
+		if !route.Within(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // Routed tells whether the tree has routes at all.
 func (tree *Tree) Routed() bool { return len(tree.routes) > 0 }
 
