Tenants with keys in the configuration, and the tenant of a request in Direct

A document may have the list `tenants` (name, keys, per_s, burst, urgency, homes). A tree finds a tenant by key or name; two that share a key or a name, a key that stands twice, negative figures and homes that the tree does not have are declined, each at its path. A request without a known key is declined with 401 unknown_key where the configuration has tenants, unless its route is keyless; the route is looked at first.

The list is cut into runs as that of the routes is, so that one changed tenant travels alone. Which list a run is of shows in its text, so the form of an edition stays as it was.

A route's host and prefix, by which package tenant places sessions, were its Tenant(); that is Address() now and RouteAt finds it, as the word is taken.

Homes and urgency of a tenant are read and not gone by yet.

--- a/controlplane/tenants.go
+++ b/controlplane/tenants.go
@@ -234,7 +234,7 @@
 	return tenant.Scene{
 		Now: daemon.World.Now(), Window: span, Duty: serial, Grounds: grounds,
 		Homes: func(name string) []string {
-			route := tree.Tenant(name)
+			route := tree.RouteAt(name)
 			switch {
 			case route == nil:
 				return nil
@@ -312,7 +312,7 @@
 	if tree == nil {
 		return tenant.Placement{}, verdict.Decline(409, "no_configuration", "there is no configuration yet", 0)
 	}
-	route := tree.Tenant(name)
+	route := tree.RouteAt(name)
 	switch {
 	case tree.Limit("tenant_ms", "") <= 0 && len(regions) > 0:
 		return tenant.Placement{}, verdict.Decline(409, "off", "tenant_ms is 0: no placement would be in force", 0)
--- a/decide/route.go
+++ b/decide/route.go
@@ -25,13 +25,17 @@
 	Bytes        int
 	// Expiry is when the caller gives up, on the world's clock.
 	Expiry time.Duration
+	// Key is the caller's, empty for none.
+	Key string
 	// Came is when the request was read.
 	Came time.Duration
 
-	// Route and Model are filled in by Direct.
-	Route *settings.Route
-	Model string
-	call  Call
+	// Route, Model and Tenant are filled in by Direct. A request on a keyless route is
+	// nobody's, and so is each where the configuration has no tenants: Tenant is nil.
+	Route  *settings.Route
+	Model  string
+	Tenant *settings.Tenant
+	call   Call
 	// owner is what requests with the same shared parts have in common, key what their
 	// owner is found by.
 	owner, key uint64
@@ -54,6 +58,12 @@
 	if route == nil {
 		return decider.decline(404, "no_route", "no route has this host and path", 0)
 	}
+	routed.Tenant = nil
+	if view.Tree.Tenanted() && !route.Keyless {
+		if routed.Tenant = view.Tree.KeyHolder(routed.Key); routed.Tenant == nil {
+			return decider.decline(401, "unknown_key", "no tenant holds the key of this request", 0)
+		}
+	}
 	routed.Route, routed.Came = route, now
 	decider.came = now
 	routed.Model = decider.share(route)
--- a/decide/tenant.go
+++ b/decide/tenant.go
@@ -21,13 +21,13 @@
 	for _, part := range routed.Parts[:max(0, len(routed.Parts)-1)] {
 		shared += part.Tokens
 	}
-	decider.tenants.Note(tenant.Request{Tenant: routed.Route.Tenant(), Model: routed.Model, Key: routed.owner, Prompt: routed.Tokens, Shared: shared, Answer: routed.Most, Bytes: routed.Bytes, Long: decider.isLong(routed)})
+	decider.tenants.Note(tenant.Request{Tenant: routed.Route.Address(), Model: routed.Model, Key: routed.owner, Prompt: routed.Tokens, Shared: shared, Answer: routed.Most, Bytes: routed.Bytes, Long: decider.isLong(routed)})
 }
 
 // noteEnd counts the end of a routed selection for its tenant.
 func (decider *Decider) noteEnd(selection *Selection, now time.Duration) {
 	if !decider.tenants.IsEmpty() {
-		decider.tenants.Ended(selection.routed.Route.Tenant(), now-selection.sent)
+		decider.tenants.Ended(selection.routed.Route.Address(), now-selection.sent)
 	}
 }
 
@@ -37,5 +37,5 @@
 	if routed.owner == 0 || view.Placed == nil || view.Tree.Limit("tenant_ms", "") <= 0 {
 		return nil
 	}
-	return view.Placement(routed.Route.Tenant(), now)
+	return view.Placement(routed.Route.Address(), now)
 }
--- a/settings/chunk.go
+++ b/settings/chunk.go
@@ -12,14 +12,17 @@
 // Digest tells chunks apart: the beginning of their text's SHA-256.
 type Digest [8]byte
 
-// Chunk is a part of a document: a run of its routes, or all but them.
+// Chunk is a part of a document: a run of its routes, a run of its tenants, or all but
+// these.
 //
-// Invariant: a chunk in a tree is never changed, so that trees share it, with its routes.
+// Invariant: a chunk in a tree is never changed, so that trees share it, with what was
+// read from it.
 type Chunk struct {
-	Digest Digest
-	Text   string
-	routes []*Route
-	isRead bool // routes are those of the text, which has no problems of its own
+	Digest  Digest
+	Text    string
+	routes  []*Route
+	tenants []*Tenant
+	isRead  bool // routes or tenants are those of the text, which has no problems of its own
 }
 
 // NewChunk makes a chunk of a text.
@@ -33,24 +36,48 @@
 	return out
 }
 
-// A run of routes ends behind one whose name says so, which one in usualRun does, or
-// after longestRun. As names say it, a route more or less changes one run, or two.
+// A run ends behind a route or tenant whose name says so, which one in usualRun does, or
+// after longestRun. As names say it, one more or less changes one run, or two.
 const (
 	usualRun   = 32
 	longestRun = 4 * usualRun
 )
 
-func endsRun(route gjson.Result) bool {
+func endsRun(one gjson.Result) bool {
 	sum := fnv.New32a()
-	_, _ = sum.Write([]byte(route.Get("name").Str))
+	_, _ = sum.Write([]byte(one.Get("name").Str))
 	return sum.Sum32()%usualRun == 0
 }
 
-// routesOf gives the one list of routes that a document has.
-func routesOf(document gjson.Result) (list gjson.Result, isOne bool) {
+// cutLists are the lists that are cut into runs, in the order of their chunks, each with
+// what stands around a run of it.
+var cutLists = []struct{ key, open, end string }{{"routes", "[", "]"}, {"tenants", `{"tenants":[`, "]}"}}
+
+// list is whose run the chunk is.
+func (chunk *Chunk) list() string {
+	for _, one := range slices.Backward(cutLists) {
+		if strings.HasPrefix(chunk.Text, one.open) {
+			return one.key
+		}
+	}
+	return ""
+}
+
+// run is the text of a run within its chunk, without what stands around it.
+func (chunk *Chunk) run() string {
+	for _, one := range slices.Backward(cutLists) {
+		if strings.HasPrefix(chunk.Text, one.open) {
+			return strings.TrimSuffix(chunk.Text[len(one.open):], one.end)
+		}
+	}
+	return ""
+}
+
+// listOf gives the one list of that key that a document has.
+func listOf(document gjson.Result, name string) (list gjson.Result, isOne bool) {
 	count := 0
 	document.ForEach(func(key, value gjson.Result) bool {
-		if key.Str == "routes" {
+		if key.Str == name {
 			list = value
 			count++
 		}
@@ -59,56 +86,97 @@
 	return list, count == 1 && list.IsArray() && list.Index > 0
 }
 
+// put gives the document with something else in the place of its lists that are cut.
+func put(root gjson.Result, fresh func(key string, list gjson.Result) string) string {
+	type place struct {
+		from, to int
+		text     string
+	}
+	var places []place
+	if root.IsObject() {
+		for _, one := range cutLists {
+			if list, isOne := listOf(root, one.key); isOne {
+				places = append(places, place{list.Index - root.Index, list.Index - root.Index + len(list.Raw), fresh(one.key, list)})
+			}
+		}
+	}
+	slices.SortFunc(places, func(a, b place) int { return a.from - b.from })
+	var out strings.Builder
+	at := 0
+	for _, one := range places {
+		out.WriteString(root.Raw[at:one.from])
+		out.WriteString(one.text)
+		at = one.to
+	}
+	out.WriteString(root.Raw[at:])
+	return out.String()
+}
+
 // cut gives the chunks of a document which is JSON: the first is the document with no
-// routes. Chunks that the tree has (it may be nil) are taken from it.
+// routes and tenants. Chunks that the tree has (it may be nil) are taken from it.
 func (tree *Tree) cut(document []byte) []*Chunk {
 	root := gjson.ParseBytes(document)
-	list, isOne := routesOf(root)
-	if !root.IsObject() || !isOne {
-		return []*Chunk{NewChunk(root.Raw)}
-	}
 	known := map[Digest]*Chunk{}
 	if tree != nil {
 		for _, chunk := range tree.chunks {
 			known[chunk.Digest] = chunk
 		}
 	}
-	var chunks []*Chunk
-	take := func(text []byte) {
+	chunks := make([]*Chunk, 1)
+	take := func(text []byte) *Chunk {
 		chunk := known[digestOf(text)]
 		if chunk == nil || chunk.Text != string(text) {
 			chunk = NewChunk(string(text))
 		}
-		chunks = append(chunks, chunk)
+		return chunk
 	}
-	take(slices.Concat([]byte(root.Raw[:list.Index-root.Index]), []byte("[]"), []byte(root.Raw[list.Index-root.Index+len(list.Raw):])))
-	run, count := []byte{'['}, 0
-	list.ForEach(func(_, route gjson.Result) bool {
-		if count > 0 {
-			run = append(run, ',')
+	rest := put(root, func(string, gjson.Result) string { return "[]" })
+	chunks[0] = take([]byte(rest))
+	if !root.IsObject() {
+		return chunks
+	}
+	for _, one := range cutLists {
+		list, isOne := listOf(root, one.key)
+		if !isOne {
+			continue
 		}
-		run = append(run, route.Raw...)
-		if count++; count == longestRun || endsRun(route) {
-			take(append(run, ']'))
-			run, count = run[:1], 0
+		run, count := []byte(one.open), 0
+		list.ForEach(func(_, value gjson.Result) bool {
+			if count > 0 {
+				run = append(run, ',')
+			}
+			run = append(run, value.Raw...)
+			if count++; count == longestRun || endsRun(value) {
+				chunks = append(chunks, take(append(run, one.end...)))
+				run, count = run[:len(one.open)], 0
+			}
+			return true
+		})
+		if count > 0 {
+			chunks = append(chunks, take(append(run, one.end...)))
 		}
-		return true
-	})
-	if count > 0 {
-		take(append(run, ']'))
 	}
 	return chunks
 }
 
-// read reads a run's routes; first is the place of the first one in the document.
+// read reads a run; first is the place in the document's list of the first one in it.
 func (chunk *Chunk) read(first int, problems *Problems) {
 	if chunk.isRead {
 		return
 	}
 	var own Problems
-	chunk.routes = nil
-	gjson.Parse(chunk.Text).ForEach(func(_, value gjson.Result) bool {
-		chunk.routes = append(chunk.routes, readRoute(value, &spot{nil, "routes", first + len(chunk.routes)}, &own))
+	chunk.routes, chunk.tenants = nil, nil
+	list := gjson.Parse(chunk.Text)
+	isTenants := chunk.list() == "tenants"
+	if isTenants {
+		list = list.Get("tenants")
+	}
+	list.ForEach(func(_, value gjson.Result) bool {
+		if isTenants {
+			chunk.tenants = append(chunk.tenants, readTenant(value, &spot{nil, "tenants", first + len(chunk.tenants)}, &own))
+		} else {
+			chunk.routes = append(chunk.routes, readRoute(value, &spot{nil, "routes", first + len(chunk.routes)}, &own))
+		}
 		return true
 	})
 	chunk.isRead = len(own) == 0
@@ -119,23 +187,23 @@
 func (tree *Tree) Chunks() []*Chunk { return tree.chunks }
 
 // Document is the document that the tree was made from, without white space between
-// routes.
+// routes and between tenants.
 func (tree *Tree) Document() []byte {
-	rest := gjson.Parse(tree.chunks[0].Text)
-	list, isOne := routesOf(rest)
-	if !isOne {
-		return []byte(rest.Raw)
-	}
-	var out strings.Builder
-	out.WriteString(rest.Raw[:list.Index-rest.Index+1])
-	for index, chunk := range tree.chunks[1:] {
-		if index > 0 {
-			out.WriteByte(',')
+	return []byte(put(gjson.Parse(tree.chunks[0].Text), func(key string, _ gjson.Result) string {
+		var out strings.Builder
+		out.WriteByte('[')
+		for _, chunk := range tree.chunks[1:] {
+			if chunk.list() != key {
+				continue
+			}
+			if out.Len() > 1 {
+				out.WriteByte(',')
+			}
+			out.WriteString(chunk.run())
 		}
-		out.WriteString(chunk.Text[1 : len(chunk.Text)-1])
-	}
-	out.WriteString(rest.Raw[list.Index-rest.Index+1:])
-	return []byte(out.String())
+		out.WriteByte(']')
+		return out.String()
+	}))
 }
 
 // Revise parses a document and shares with the tree, which may be nil, the chunks that
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -40,8 +40,9 @@
 	// Urgency is the rank, 0 first. Tries is the largest number of replicas that one
 	// request may be sent to.
 	Urgency, Tries int
-	// Resume lets a stream be continued at another replica.
-	Resume bool
+	// Resume lets a stream be continued at another replica. Keyless requests need no key
+	// and are nobody's, where the tree has tenants.
+	Resume, Keyless bool
 	// Homes are the only regions that may serve it; none means anywhere.
 	Homes  []string
 	Shares []Share
@@ -52,13 +53,13 @@
 	return route.Kind == Safe || route.Kind == Streamed && route.Resume
 }
 
-// Tenant names whom the route belongs to: its host and prefix.
-func (route *Route) Tenant() string { return route.Host + route.Prefix }
+// Address is what its requests are addressed to: its host and prefix.
+func (route *Route) Address() string { return route.Host + route.Prefix }
 
-// Tenant is the route of a tenant's name; nil when there is none.
-func (tree *Tree) Tenant(name string) *Route {
-	host, path, _ := strings.Cut(name, "/")
-	if route := tree.Route(host, "/"+path); route != nil && route.Tenant() == name {
+// RouteAt is the route with that address; nil when there is none.
+func (tree *Tree) RouteAt(address string) *Route {
+	host, path, _ := strings.Cut(address, "/")
+	if route := tree.Route(host, "/"+path); route != nil && route.Address() == address {
 		return route
 	}
 	return nil
@@ -198,7 +199,7 @@
 	routeShapes = map[string]shape{
 		"name": {kind: gjson.String, isNeeded: true}, "host": {kind: gjson.String, isNeeded: true}, "prefix": {kind: gjson.String, isNeeded: true}, "kind": {kind: gjson.String, isNeeded: true},
 		"timeout_ms": {kind: gjson.Number, least: shortest, most: longest, isNeeded: true}, "target_ms": {kind: gjson.Number, most: longest}, "gap_ms": {kind: gjson.Number, most: longest},
-		"urgency": {kind: gjson.Number, most: 9, isWhole: true}, "tries": {kind: gjson.Number, least: 1, most: 1000, isWhole: true}, "resume": {kind: gjson.True},
+		"urgency": {kind: gjson.Number, most: 9, isWhole: true}, "tries": {kind: gjson.Number, least: 1, most: 1000, isWhole: true}, "resume": {kind: gjson.True}, "keyless": {kind: gjson.True},
 		"homes": {kind: gjson.JSON}, "shares": {kind: gjson.JSON, isNeeded: true},
 	}
 	shareShapes  = map[string]shape{"model": {kind: gjson.String, isNeeded: true}, "weight": {kind: gjson.Number, most: most, isNeeded: true}}
@@ -267,6 +268,19 @@
 	return time.Duration(fields.number(key) * float64(time.Millisecond))
 }
 
+// texts gives a list of strings; what is none, or empty, is a problem.
+func (fields fields) texts(key string, at *spot, problems *Problems) (out []string) {
+	list, _ := fields.get(key)
+	list.ForEach(func(_, one gjson.Result) bool {
+		if one.Type != gjson.String || one.Str == "" {
+			(&spot{at, key, len(out)}).tell(problems, "", "must be a string that is not empty")
+		}
+		out = append(out, one.Str)
+		return true
+	})
+	return out
+}
+
 func (fields fields) has(key string) bool {
 	for index := range fields {
 		if fields[index].key == key {
@@ -336,10 +350,24 @@
 			break
 		}
 		for _, chunk := range tree.chunks[1:] {
-			chunk.read(len(tree.listed), problems)
-			tree.listed = append(tree.listed, chunk.routes...)
+			if chunk.list() == key {
+				chunk.read(len(tree.listed), problems)
+				tree.listed = append(tree.listed, chunk.routes...)
+			}
 		}
 		tree.index(problems)
+	case "tenants":
+		if !value.IsArray() {
+			problems.add(path, "must be a list")
+			break
+		}
+		tree.isTenanted = true
+		for _, chunk := range tree.chunks[1:] {
+			if chunk.list() == key {
+				chunk.read(len(tree.tenants), problems)
+				tree.tenants = append(tree.tenants, chunk.tenants...)
+			}
+		}
 	case "engines":
 		tree.engines = map[string]*Engine{}
 		each(value, path, problems, func(model string, one gjson.Result, path string) {
@@ -366,8 +394,9 @@
 func readRoute(value gjson.Result, at *spot, problems *Problems) *Route {
 	got := members(value, at, routeShapes, problems)
 	resume, _ := got.get("resume")
+	keyless, _ := got.get("keyless")
 	route := &Route{Name: got.text("name"), Host: got.text("host"), Prefix: got.text("prefix"), Kind: got.text("kind"), Timeout: got.span("timeout_ms"), Target: got.span("target_ms"), Gap: got.span("gap_ms"),
-		Urgency: int(got.number("urgency")), Tries: max(1, int(got.number("tries"))), Resume: resume.Bool()}
+		Urgency: int(got.number("urgency")), Tries: max(1, int(got.number("tries"))), Resume: resume.Bool(), Keyless: keyless.Bool(), Homes: got.texts("homes", at, problems)}
 	for _, key := range []string{"name", "host"} {
 		if one, known := got.get(key); known && one.Str == "" {
 			at.tell(problems, key, "is empty")
@@ -379,13 +408,6 @@
 	if kind, known := got.get("kind"); known && kind.Str != Safe && kind.Str != Unsafe && kind.Str != Streamed {
 		at.tell(problems, "kind", "%q is none of %s, %s, %s", kind.Str, Safe, Unsafe, Streamed)
 	}
-	homes, _ := got.get("homes")
-	for index, home := range homes.Array() {
-		if home.Type != gjson.String {
-			(&spot{at, "homes", index}).tell(problems, "", "must be a string")
-		}
-		route.Homes = append(route.Homes, home.String())
-	}
 	shares, known := got.get("shares")
 	sum := 0.0
 	for index, share := range shares.Array() {
@@ -425,7 +447,7 @@
 			}
 		}
 		for index, home := range route.Homes {
-			if _, known := tree.regions[home]; !known {
+			if _, known := tree.regions[home]; !known && home != "" {
 				tell(at, "homes", index, "", "names region %q, which the tree does not have", home)
 			}
 		}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -82,9 +82,14 @@
 	platform map[string]string
 	routes   map[string][]*Route // by host, the longest prefix first
 	listed   []*Route            // as they stand in the document; from its chunks
+	tenants  []*Tenant           // as well
+	named    map[string]*Tenant  // by name
+	holders  map[string]*Tenant  // by key
 	engines  map[string]*Engine
 	intake   Intake
 	label    uint64
+
+	isTenanted bool
 }
 
 // parse checks a document in chunks, each of which is JSON. The tree is nil when there
@@ -130,7 +135,7 @@
 			})
 		default:
 			if !tree.sections(key, value, path, &problems) {
-				problems.add(path, "is unknown; the tree has whole, regions, routes, engines, intake, label and origin")
+				problems.add(path, "is unknown; the tree has whole, regions, routes, tenants, engines, intake, label and origin")
 			}
 		}
 	})
@@ -145,6 +150,7 @@
 	}
 	tree.refer(&problems)
 	tree.join(&problems)
+	tree.enlist(&problems)
 	tree.gather(&problems)
 	tree.agree(&problems)
 	sort.SliceStable(problems, func(a, b int) bool { return problems[a].Path < problems[b].Path })
