Stand-in callers have keys of tenants; keys come, go and pass on in the routed faults

The routed faults, the calm run and the forged sights now go over fleets with three tenants: one bound to two of the three regions, one with a rank of its own, one plain, and one keyless route. Two faults are new: keys added, dropped, passed to another tenant and put back; keys dropped and passed on while one data daemon is cut from the core and another is frozen. Two rules are new: nothing runs with a key that no configuration in force has, nor is a key that all of them have told as unknown (`keys`); an engine is told the tenant that holds the key, none where none is needed (`tenant`). `routed home` takes a tenant's homes into account.

A mutant counted as killed by `keys:580` in the counts of a run that failed otherwise; a rule's word must be followed by a space now.

--- a/fleet/checkrouted.go
+++ b/fleet/checkrouted.go
@@ -27,6 +27,7 @@
 var RoutedRules = []Rule{
 	{"rerun", rerun}, {"promise", promise}, {"whole", whole}, {"held", held}, {"routes", routes}, {"routed leaving", routedLeaving}, {"cold", cold},
 	{"routed home", routedHome}, {"routed evacuated", routedEvacuated}, {"routed retries", routedRetries}, {"routed lost", routedLost}, {"fallback", fallback},
+	{"keys", keys}, {"tenant", tenants},
 }
 
 // CheckRouted applies them.
@@ -254,8 +255,86 @@
 	return all, judged
 }
 
-// routedHome: a request whose route has homes reaches engines in those alone. Judged:
-// runs of such requests.
+// holderOf is by which tenant's key a try may run under the book: nil for nobody's; false
+// when it may not run at all.
+func (book Book) holderOf(try *RoutedTry) (holder *settings.Tenant, mayRun bool) {
+	crowd := try.request.Crowd
+	switch route := book.Tree.Route(crowd.Host, crowd.Path); {
+	case route == nil:
+		return nil, false
+	case route.Keyless || !book.Tree.Tenanted():
+		return nil, true
+	}
+	holder = book.Tree.KeyHolder(try.Key)
+	return holder, holder != nil
+}
+
+// keys: nothing runs with a key that no configuration in force has, nor is anything told
+// that its key is not known which all of them have. Judged: runs where a key is needed,
+// and such words.
+func keys(park *Park, facts Facts) (all []Broken, judged int) {
+	for _, run := range park.Runs {
+		if run.Elsewhere || run.NotRun {
+			continue
+		}
+		try := park.tried[run.ID]
+		isNeeded, mayRun := false, false
+		for _, book := range facts.books(try.Sent, run.At) {
+			holder, may := book.holderOf(try)
+			isNeeded, mayRun = isNeeded || holder != nil || !may, mayRun || may
+		}
+		if !isNeeded {
+			continue
+		}
+		judged++
+		if !mayRun {
+			all = append(all, Broken{"keys", run.At, fmt.Sprintf("%s ran on %s by %s with the key %q, which no configuration in force has", run.ID, run.Engine, run.Daemon, try.Key)})
+		}
+	}
+	for _, one := range park.RoutedRequests {
+		for _, try := range one.Tries {
+			if try.Status != 401 {
+				continue
+			}
+			judged++
+			mayNot := false
+			for _, book := range facts.books(try.Sent, try.End) {
+				_, may := book.holderOf(try)
+				mayNot = mayNot || !may
+			}
+			if !mayNot {
+				all = append(all, Broken{"keys", try.End, fmt.Sprintf("%s was told by %s that its key %q is not known, which every configuration in force has", try.ID, try.Daemon, try.Key)})
+			}
+		}
+	}
+	return all, judged
+}
+
+// tenants: an engine is told the tenant that holds its request's key by a configuration in
+// force, and none where no key is needed. Judged: runs under books with tenants.
+func tenants(park *Park, facts Facts) (all []Broken, judged int) {
+	for _, run := range park.Runs {
+		try := park.tried[run.ID]
+		isTenanted, isHolder := false, false
+		for _, book := range facts.books(try.Sent, run.At) {
+			isTenanted = isTenanted || book.Tree.Tenanted()
+			if holder, may := book.holderOf(try); may {
+				isHolder = isHolder || holder == nil && run.Tenant == "" || holder != nil && holder.Name == run.Tenant
+			}
+		}
+		if !isTenanted && run.Tenant == "" {
+			continue
+		}
+		judged++
+		if !isHolder {
+			all = append(all, Broken{"tenant", run.At, fmt.Sprintf("%s with the key %q is %q's by the word of %s", run.ID, try.Key, run.Tenant, run.Daemon)})
+		}
+	}
+	return all, judged
+}
+
+// routedHome: a request whose route or tenant has homes reaches engines in those alone,
+// which are those of both where both have some. Judged: runs of such requests.
 func routedHome(park *Park, facts Facts) (all []Broken, judged int) {
 	for _, run := range park.Runs {
 		try := park.tried[run.ID]
@@ -263,8 +342,10 @@
 		isBound, isHome := false, false
 		for _, book := range facts.books(try.Sent, run.At) {
 			if route := book.Tree.Route(crowd.Host, crowd.Path); route != nil {
-				isBound = isBound || len(route.Homes) > 0
-				isHome = isHome || route.Within(Region(park.zones[run.Engine]))
+				holder, _ := book.holderOf(try)
+				region := Region(park.zones[run.Engine])
+				isBound = isBound || len(route.Homes) > 0 || holder != nil && len(holder.Homes) > 0
+				isHome = isHome || route.Within(region) && holder.Within(region)
 			}
 		}
 		if !isBound {
--- a/fleet/editions_test.go
+++ b/fleet/editions_test.go
@@ -26,6 +26,20 @@
 	return []byte(strings.Replace(document, "{", fmt.Sprintf(`{"label":%d,"routes":[%s],`, label, strings.Join(routes, ",")), 1))
 }
 
+// holders is the plan's document with so many tenants of two keys each, beside a few routes;
+// one key of changed, if it is one, is another under each label.
+func holders(document string, label uint64, count, changed int) []byte {
+	var list []string
+	for index := range count {
+		drawn := uint64(0)
+		if index == changed {
+			drawn = label
+		}
+		list = append(list, fmt.Sprintf(`{"name":"tenant-%d","keys":["own-%d","drawn-%d-%d"],"per_s":131,"burst":131,"urgency":1}`, index, index, index, drawn))
+	}
+	return []byte(strings.Replace(string(tenants(document, label, 100, -1)), `"routes"`, `"tenants":[`+strings.Join(list, ",")+`],"routes"`, 1))
+}
+
 // routedFleet is a calm small fleet whose model may have routes.
 func routedFleet(seed uint64) *fleet.Park {
 	return fleet.NewPark(seed, grown(6, 18, 3))
@@ -78,51 +92,56 @@
 	}
 }
 
-// TestRouteTravelsAlone: a change of one route of many costs each data daemon some hundred
-// bytes, however many routes there are; a daemon that begins anew gets the whole, once.
+// TestRouteTravelsAlone: a change of one route or tenant of many costs each data daemon some
+// hundred bytes, however many there are; a daemon that begins anew gets the whole, once.
 func TestRouteTravelsAlone(t *testing.T) {
-	sizes := []struct{ datas, routes int }{{25, 21000}, {88, 1300}, {6, 30}}
+	sizes := []struct{ datas, count int }{{25, 21000}, {88, 1300}, {6, 30}}
 	if testing.Short() {
 		sizes = sizes[2:]
 	}
 	for _, size := range sizes {
-		park := apart(3, grown(size.datas, 36, 3))
-		label := uint64(1)
-		if _, err := replace(park, "c1", tenants(park.Document, 1, size.routes, -1), 0); err != nil {
+		travelsAlone(t, size.datas, size.count, "routes", tenants)
+		travelsAlone(t, size.datas, size.count, "tenants", holders)
+	}
+}
+
+func travelsAlone(t *testing.T, datas, count int, what string, compose func(document string, label uint64, count, changed int) []byte) {
+	park := apart(3, grown(datas, 36, 3))
+	defer park.Close()
+	label := uint64(1)
+	if _, err := replace(park, "c1", compose(park.Document, 1, count, -1), 0); err != nil {
+		t.Fatal(err)
+	}
+	park.Run(time.Second)
+	for at, changed := range []int{count / 2, 0, count - 1} {
+		seen := follow(park)
+		label++
+		document := compose(park.Document, label, count, changed)
+		began := park.Now()
+		if _, err := replace(park, fmt.Sprintf("c%d", 1+at), document, label-1); err != nil {
 			t.Fatal(err)
 		}
-		park.Run(time.Second)
-		for at, moved := range []int{size.routes / 2, 0, size.routes - 1} {
-			seen := follow(park)
-			label++
-			document := tenants(park.Document, label, size.routes, moved)
-			began := park.Now()
-			if _, err := replace(park, fmt.Sprintf("c%d", 1+at), document, label-1); err != nil {
-				t.Fatal(err)
-			}
-			took := park.Now() - began
-			park.Run(2 * time.Second)
-			going(t, park, document)
-			most := 0
-			for name := range park.Datas {
-				most = max(most, seen.bytes[name])
-				if seen.copies[name] != 1 {
-					t.Errorf("%d daemons, %d routes: %d copies to %s", size.datas, size.routes, seen.copies[name], name)
-				}
-			}
-			t.Logf("%d daemons, %d routes, %d bytes: one route changes: acknowledged after %v, %d bytes to and from a data daemon", size.datas, size.routes, len(document), took, most)
-			if most > 1200 || most == 0 || took > time.Second {
-				t.Errorf("%d daemons, %d routes: acknowledged after %v, %d bytes to a data daemon", size.datas, size.routes, took, most)
+		took := park.Now() - began
+		park.Run(2 * time.Second)
+		going(t, park, document)
+		most := 0
+		for name := range park.Datas {
+			most = max(most, seen.bytes[name])
+			if seen.copies[name] != 1 {
+				t.Errorf("%d daemons, %d %s: %d copies to %s", datas, count, what, seen.copies[name], name)
 			}
 		}
-		seen := follow(park)
-		park.Crash("d2")
-		park.StartData("d2")
-		park.Run(5 * time.Second)
-		if view := park.Datas["d2"].Holder.View(); seen.copies["d2"] != 1 || !view.Stands(park.Now()) || view.Config().Label() != label {
-			t.Errorf("%d routes: a daemon that begins anew gets %d copies, and goes by %d", size.routes, seen.copies["d2"], view.Config().Label())
+		t.Logf("%d daemons, %d %s, %d bytes: one changes: acknowledged after %v, %d bytes to and from a data daemon", datas, count, what, len(document), took, most)
+		if most > 1200 || most == 0 || took > time.Second {
+			t.Errorf("%d daemons, %d %s: acknowledged after %v, %d bytes to a data daemon", datas, count, what, took, most)
 		}
-		park.Close()
+	}
+	seen := follow(park)
+	park.Crash("d2")
+	park.StartData("d2")
+	park.Run(5 * time.Second)
+	if view := park.Datas["d2"].Holder.View(); seen.copies["d2"] != 1 || !view.Stands(park.Now()) || view.Config().Label() != label {
+		t.Errorf("%d %s: a daemon that begins anew gets %d copies, and goes by %d", count, what, seen.copies["d2"], view.Config().Label())
 	}
 }
 
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -102,6 +102,8 @@
 // Run is one request that arrived at an engine.
 type Run struct {
 	ID, Engine, Life, Model, Version, Daemon string
+	// Tenant is whose request it is by its daemon's word, empty for nobody's.
+	Tenant string
 	// Sent is when its daemon let it go, At when it arrived, Ran when the engine began
 	// to work on it, zero if it never did.
 	Sent, At, Ran time.Duration
--- a/fleet/faultsrouted.go
+++ b/fleet/faultsrouted.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"strings"
 	"time"
 
 	"swifttiller/controlplane"
@@ -29,6 +31,38 @@
 	})
 }
 
+// ApplyTenants applies the shape's document with other tenants, and notes it.
+func (park *Park) ApplyTenants(facts *Facts, tenants TenantWords) error {
+	park.Shape.Tenants = tenants
+	return park.ApplyRoutes(facts, park.Shape.Routes())
+}
+
+// keyed starts callers with keys that come, go and pass on in a fault, for a while.
+func (park *Park) keyed(span time.Duration, keys ...string) {
+	crowd := park.Plan.Routed[0]
+	crowd.Name, crowd.Keys, crowd.Workers, crowd.Until = "keyed", keys, 2*len(keys), park.Now()+span
+	crowd.Pause = 200 * time.Millisecond
+	park.crowdRouted(&crowd)
+}
+
+// told counts the tries of keyed callers with the key that were answered with the status,
+// and the runs of such by the tenant.
+func (park *Park) told(key string, status int, tenant string) (tries, runs int) {
+	for _, one := range park.RoutedRequests {
+		for _, try := range one.Tries {
+			if try.Key == key && try.Status == status {
+				tries++
+			}
+		}
+	}
+	for _, run := range park.Runs {
+		if run.Tenant == tenant && park.tried[run.ID].Key == key {
+			runs++
+		}
+	}
+	return tries, runs
+}
+
 // BeginRouted gives the facts that hold before anything is done.
 func (park *Park) BeginRouted() Facts {
 	facts := Facts{From: park.Now()}
@@ -225,6 +259,56 @@
 		park.Run(5 * time.Second)
 		park.Split([]string{name}, park.controls(), false)
 	}, []string{"routes"}},
+	{"keys added, dropped and passed on", true, func(park *Park, facts *Facts) {
+		before := park.Shape.Tenants
+		first, second := maps.Clone(before), maps.Clone(before)
+		first["market"] = `"keys":["market-1","market-2","dropped","passed"]`
+		second["school"] = `"keys":["school-1","added"],"urgency":3`
+		second["harbour"] = strings.Replace(before["harbour"], `"keys":[`, `"keys":["passed",`, 1)
+		park.keyed(16*time.Second, "dropped", "passed", "added", "never")
+		facts.Need("apply", park.ApplyTenants(facts, first))
+		park.Run(4 * time.Second)
+		facts.Need("apply", park.ApplyTenants(facts, second))
+		park.Run(OldConfigBound + 3*time.Second)
+		facts.Need("apply", park.ApplyTenants(facts, first))
+		park.Run(4 * time.Second)
+		facts.Need("apply", park.ApplyTenants(facts, before))
+		park.Run(2 * time.Second)
+		for key, tenants := range map[string][]string{"dropped": {"market"}, "passed": {"market", "harbour"}, "added": {"school"}} {
+			for _, tenant := range tenants {
+				told, runs := park.told(key, 401, tenant)
+				facts.Must(fmt.Sprintf("%s ran as %s's %d times, and was not known %d times", key, tenant, runs, told), runs > 5 && told > 5)
+			}
+		}
+		told, runs := park.told("never", 401, "")
+		facts.Must("a key that nobody holds was not known, and did not run", told > 5 && runs == 0)
+	}, []string{"keys", "tenant", "routed home", "routed lost"}},
+	{"keys dropped while data daemons are cut from the core and frozen", false, func(park *Park, facts *Facts) {
+		before := park.Shape.Tenants
+		first := maps.Clone(before)
+		first["market"] = `"keys":["market-1","market-2","dropped","passed"]`
+		second := maps.Clone(before)
+		second["school"] = `"keys":["school-1","passed"],"urgency":3`
+		park.keyed(14*time.Second, "dropped", "passed")
+		facts.Need("apply", park.ApplyTenants(facts, first))
+		park.Run(3 * time.Second)
+		var names []string
+		for _, word := range park.Plan.Datas[:2] {
+			name, _ := split(word)
+			names = append(names, name)
+		}
+		park.Split(names[:1], park.controls(), true)
+		park.Freeze(names[1], 2*time.Second)
+		facts.Need("apply", park.ApplyTenants(facts, second))
+		park.Run(OldConfigBound + 3*time.Second)
+		park.Split(names[:1], park.controls(), false)
+		park.Run(2 * time.Second)
+		facts.Need("apply", park.ApplyTenants(facts, before))
+		told, runs := park.told("dropped", 401, "market")
+		facts.Must("a dropped key ran, and was not known later", told > 5 && runs > 5)
+		_, runs = park.told("passed", 0, "school")
+		facts.Must("a key was passed on", runs > 5)
+	}, []string{"keys", "tenant"}},
 	{"evacuation and return", true, func(park *Park, facts *Facts) {
 		zone := park.Plan.Engines[0].Zone
 		facts.Need("evacuate", park.Evacuate(facts, zone, false))
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -133,7 +133,7 @@
 		hop.cutAt = sent + ask.Unheard
 	}
 	asked, meant, after := park.asked(ask.ID), ask.Replica, tokenOf(ask.After)
-	urgency, left := ask.Urgency, ask.Left
+	urgency, left, tenant := ask.Urgency, ask.Left, ask.Tenant
 	park.Deliver(node, ask.Address, func(at *sim.Node) {
 		engine := park.Engines[ask.Address]
 		var lane sim.Lane
@@ -150,7 +150,7 @@
 			line.late--
 			send(wirePiece{head: &replica.Head{Status: 200, Foreign: true}})
 		}
-		run := &Run{ID: ask.ID, Engine: ask.Address, Life: engine.Life, Model: engine.Model, Version: engine.Version, Daemon: node.Name, Sent: sent, At: park.Now(), After: after}
+		run := &Run{ID: ask.ID, Engine: ask.Address, Life: engine.Life, Model: engine.Model, Version: engine.Version, Daemon: node.Name, Tenant: tenant, Sent: sent, At: park.Now(), After: after}
 		if engine.Life != meant {
 			run.Elsewhere = true
 			park.Runs = append(park.Runs, run)
--- a/fleet/routed.go
+++ b/fleet/routed.go
@@ -27,6 +27,8 @@
 	// Shared tokens begin the prompt and are the same for all of one of Groups; Own are
 	// the request's. Most are those of the answer.
 	Shared, Own, Groups, Most int
+	// Keys are those of its callers, who each have one of them; none send no key.
+	Keys []string
 	// Patience is how long a caller waits for the whole, Target the aim for the first
 	// event, Gap the pause between events that is still in time.
 	Patience, Target, Gap time.Duration
@@ -58,9 +60,9 @@
 
 // RoutedTry is one try of it; it has its own id, and goes to one daemon.
 type RoutedTry struct {
-	ID, Daemon string
-	Sent, End  time.Duration
-	After      int
+	ID, Daemon, Key string
+	Sent, End       time.Duration
+	After           int
 	// Status is that of the answer, zero when none came; Code is a decline's.
 	Status   int
 	Code     string
@@ -112,6 +114,9 @@
 		park.zones[name] = crowd.Zone
 		park.Start(name, func(node *sim.Node) {
 			caller := &routedCaller{park: park, node: node, crowd: crowd}
+			if len(crowd.Keys) > 0 {
+				caller.key = crowd.Keys[worker%len(crowd.Keys)]
+			}
 			loop.Sleep(node, max(0, crowd.From-node.Now()))
 			for {
 				loop.Sleep(node, time.Duration(park.Draw(int64(2*crowd.Pause)))+time.Microsecond)
@@ -133,6 +138,7 @@
 	park  *Park
 	node  *sim.Node
 	crowd *RoutedCrowd
+	key   string
 	doors []string
 	until time.Duration
 	// shunned are daemons that failed it, until when.
@@ -216,7 +222,7 @@
 	ask.parts = append(ask.parts, decide.Part{ID: 1<<50 + uint64(number), Tokens: crowd.Own})
 	expiry := one.At + crowd.Patience
 	for {
-		try := &RoutedTry{ID: fmt.Sprintf("%s.%d", one.ID, len(one.Tries)), Sent: node.Now(), request: one}
+		try := &RoutedTry{ID: fmt.Sprintf("%s.%d", one.ID, len(one.Tries)), Key: caller.key, Sent: node.Now(), request: one}
 		one.Tries = append(one.Tries, try)
 		park.askedOf[try.ID], park.tried[try.ID] = ask, try
 		if crowd.Resume {
@@ -315,7 +321,7 @@
 				park.Send(&lane, at, node.Name, func(*sim.Node) { link.box.Put(piece) })
 			}
 		}
-		routed := &decide.Routed{ID: try.ID, Host: crowd.Host, Path: crowd.Path, Most: ask.most, Parts: ask.parts, Expiry: at.Now() + left}
+		routed := &decide.Routed{ID: try.ID, Host: crowd.Host, Path: crowd.Path, Key: try.Key, Most: ask.most, Parts: ask.parts, Expiry: at.Now() + left}
 		for _, part := range ask.parts {
 			routed.Tokens += part.Tokens
 		}
--- a/fleet/routed_test.go
+++ b/fleet/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 // tryRouted runs a fault over a warm routed fleet and checks every rule.
 func tryRouted(t *testing.T, shape string, seed uint64, fault fleet.Fault) {
 	t.Helper()
-	park := fleet.NewPark(seed, fleet.RoutedShapes[shape].Plan())
+	park := fleet.NewPark(seed, fleet.RoutedShapes[shape].Tenanted().Plan())
 	defer park.Close()
 	park.Run(warmRouted)
 	facts := park.BeginRouted()
@@ -69,7 +70,7 @@
 					kept += engine.KeptTokens
 				}
 				facts.Must(fmt.Sprintf("of prompts, %d tokens are read and %d kept", read, kept), kept > read)
-			}, Judges: []string{"whole", "held", "routes", "routed home", "routed lost"}})
+			}, Judges: []string{"whole", "held", "routes", "routed home", "routed lost", "keys", "tenant"}})
 		})
 	}
 }
@@ -95,7 +96,7 @@
 // TestEveryRoutedCheckerCanFire shows each checker a history with one forbidden sight in
 // it; without that sight none of them says anything.
 func TestEveryRoutedCheckerCanFire(t *testing.T) {
-	park := fleet.NewPark(3, fleet.RoutedShapes["small"].Plan())
+	park := fleet.NewPark(3, fleet.RoutedShapes["small"].Tenanted().Plan())
 	defer park.Close()
 	park.Run(warmRouted)
 	facts := park.BeginRouted()
@@ -197,6 +198,63 @@
 			run.Engine = "e-south-1"
 			return func() { run.Engine = before }
 		},
+		"routed home/tenant": func(*fleet.Facts) func() {
+			// The harbour may not be served there, and the route may.
+			for _, run := range park.Runs {
+				if run.Tenant == "harbour" && run.Ran > 0 && strings.HasPrefix(run.ID, "check-north") {
+					before := run.Engine
+					run.Engine = "e-sea-1"
+					return func() { run.Engine = before }
+				}
+			}
+			t.Fatal("nothing of the harbour ran")
+			return nil
+		},
+		"keys": func(*fleet.Facts) func() {
+			_, one := runOf("check-south")
+			before := one.Tries[0].Key
+			one.Tries[0].Key = "nobody's"
+			return func() { one.Tries[0].Key = before }
+		},
+		"keys/401": func(*fleet.Facts) func() {
+			_, one := runOf("check-south")
+			before := *one.Tries[0]
+			one.Tries[0].Status = 401
+			return func() { *one.Tries[0] = before }
+		},
+		"keys/acknowledged": func(facts *fleet.Facts) func() {
+			// A key runs on, though one without it was acknowledged.
+			words := maps.Clone(park.Shape.Tenants)
+			words["market"] = `"keys":["market-2"]`
+			shape := park.Shape
+			shape.Tenants = words
+			tree, problems := settings.Parse([]byte(shape.Document(shape.Routes())))
+			if len(problems) > 0 {
+				t.Fatal(problems)
+			}
+			facts.Books = append(append([]fleet.Book{}, facts.Books...), fleet.Book{Asked: facts.From, Acked: facts.From, Tree: tree})
+			return func() {}
+		},
+		"tenant": func(*fleet.Facts) func() {
+			run, _ := runOf("check-south")
+			before := run.Tenant
+			run.Tenant = "harbour"
+			if before == "harbour" {
+				run.Tenant = "market"
+			}
+			return func() { run.Tenant = before }
+		},
+		"tenant/nobody's": func(*fleet.Facts) func() {
+			run, _ := runOf("check-south")
+			before := run.Tenant
+			run.Tenant = ""
+			return func() { run.Tenant = before }
+		},
+		"tenant/keyless": func(*fleet.Facts) func() {
+			run, _ := runOf("moved-sea")
+			run.Tenant = "market"
+			return func() { run.Tenant = "" }
+		},
 		"routed evacuated": func(facts *fleet.Facts) func() {
 			facts.Evacuated = []fleet.Evacuation{{Zone: "south-1", From: 0}}
 			return func() {}
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -26,6 +26,31 @@
 	Checks, Notices, Groups int
 	// Limits are the document's, by name, beside those of every deployment.
 	Limits map[string]float64
+	// Tenants, if not nil, hold the keys that requests need; see Tenanted.
+	Tenants TenantWords
+}
+
+// TenantWords are the tenants of a document: by name, what comes after it.
+type TenantWords map[string]string
+
+// Tenanted is the shape with tenants whose keys its callers have. The harbour may be served
+// in the first two regions alone; the route of moved requests is keyless.
+func (shape RoutedShape) Tenanted() RoutedShape {
+	shape.Tenants = TenantWords{
+		"harbour": fmt.Sprintf(`"keys":["harbour-1","harbour-2"],"urgency":0,"homes":[%q,%q]`, shape.Regions[0], shape.Regions[1]),
+		"market":  `"keys":["market-1","market-2"]`,
+		"school":  `"keys":["school-1"],"urgency":3`,
+	}
+	return shape
+}
+
+// callerKeys are the keys of a crowd's callers, who take turns; none where there are no
+// tenants.
+func (shape RoutedShape) callerKeys(keys ...string) []string {
+	if shape.Tenants == nil {
+		return nil
+	}
+	return keys
 }
 
 // engine is a stand-in of the shape.
@@ -62,11 +87,14 @@
 // Routes are the routes that callers use. Those of notices stay in the first and last
 // region.
 func (shape RoutedShape) Routes() RouteWords {
-	homes := fmt.Sprintf("%q,%q", shape.Regions[0], shape.Regions[len(shape.Regions)-1])
+	homes, keyless := fmt.Sprintf("%q,%q", shape.Regions[0], shape.Regions[len(shape.Regions)-1]), ""
+	if shape.Tenants != nil {
+		keyless = `"keyless":true,`
+	}
 	return RouteWords{
 		"check":  `"host":"office.example","prefix":"/check/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"urgency":1,"tries":2,"resume":true,"shares":[{"model":"scribe","weight":1}]`,
 		"notice": `"host":"office.example","prefix":"/notice/","kind":"streamed","timeout_ms":8000,"target_ms":600,"gap_ms":300,"urgency":0,"tries":1,"homes":[` + homes + `],"shares":[{"model":"scribe","weight":1}]`,
-		"moved":  `"host":"office.example","prefix":"/moved/","kind":"streamed","timeout_ms":8000,"target_ms":800,"gap_ms":300,"urgency":2,"tries":1,"shares":[{"model":"clerk","weight":1}]`,
+		"moved":  keyless + `"host":"office.example","prefix":"/moved/","kind":"streamed","timeout_ms":8000,"target_ms":800,"gap_ms":300,"urgency":2,"tries":1,"shares":[{"model":"clerk","weight":1}]`,
 	}
 }
 
@@ -83,6 +111,14 @@
 			words = append(words, fmt.Sprintf(`{"name":%q,%s}`, name, rest))
 		}
 	}
+	tenants := ""
+	if shape.Tenants != nil {
+		var list []string
+		for _, name := range slices.Sorted(maps.Keys(shape.Tenants)) {
+			list = append(list, fmt.Sprintf(`{"name":%q,%s}`, name, shape.Tenants[name]))
+		}
+		tenants = fmt.Sprintf(`"tenants":[%s],`, strings.Join(list, ","))
+	}
 	for _, region := range shape.Regions {
 		regions = append(regions, fmt.Sprintf(`%q:{"platform":"http://%s","zones":{"%s-1":{}}}`, region, region, region))
 	}
@@ -90,7 +126,7 @@
 	engine := fmt.Sprintf(`{"probe_path":"/vitals","conn_cap":370,"cold_ms":3000,"cold_per_s":%v,"berths":%d,"cache_tokens":%d,"spacing":4}`, one.ColdRate, one.Berths, one.CacheTokens)
 	return fmt.Sprintf(`{"whole":{"placements":{"scribe":{"version":"any","capacity":64},"clerk":{"version":"any","capacity":64}},
   "limits":{%s}},
- "engines":{"scribe":%s,"clerk":%s},"routes":[%s],"regions":{%s}}`, strings.Join(limits, ","), engine, engine, strings.Join(words, ","), strings.Join(regions, ","))
+ "engines":{"scribe":%s,"clerk":%s},"routes":[%s],%s"regions":{%s}}`, strings.Join(limits, ","), engine, engine, strings.Join(words, ","), tenants, strings.Join(regions, ","))
 }
 
 // Plan is the fleet of the shape, each region with one engine of the spare model beside
@@ -113,11 +149,11 @@
 			checks, notices, groups = max(1, int(shape.Busy*float64(shape.Checks))), max(1, int(shape.Busy*float64(shape.Notices))), shape.Groups
 		}
 		plan.Routed = append(plan.Routed,
-			RoutedCrowd{Name: "check-" + region, Zone: zone, Host: routedHost, Path: "/check/one", Workers: checks, Pause: 600 * time.Millisecond, Shared: 13300, Own: 3720, Groups: groups, Most: 48,
+			RoutedCrowd{Name: "check-" + region, Zone: zone, Host: routedHost, Path: "/check/one", Workers: checks, Pause: 600 * time.Millisecond, Shared: 13300, Own: 3720, Groups: groups, Most: 48, Keys: shape.callerKeys("market-1", "school-1", "market-2", "harbour-1"),
 				Patience: 4 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Repeatable: true, Resume: true, Tries: 2},
-			RoutedCrowd{Name: "notice-" + region, Zone: zone, Host: routedHost, Path: "/notice/one", Workers: notices, Pause: 800 * time.Millisecond, Own: 383, Most: 120,
+			RoutedCrowd{Name: "notice-" + region, Zone: zone, Host: routedHost, Path: "/notice/one", Workers: notices, Pause: 800 * time.Millisecond, Own: 383, Most: 120, Keys: shape.callerKeys("school-1", "harbour-2", "market-1", "market-2"),
 				Patience: 4 * time.Second, Target: 600 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2},
-			RoutedCrowd{Name: "moved-" + region, Zone: zone, Host: routedHost, Path: "/moved/one", Workers: 1, Pause: 200 * time.Millisecond, Own: 200, Most: 8,
+			RoutedCrowd{Name: "moved-" + region, Zone: zone, Host: routedHost, Path: "/moved/one", Workers: 1, Pause: 200 * time.Millisecond, Own: 200, Most: 8, Keys: shape.callerKeys("market-1"),
 				Patience: 4 * time.Second, Target: 800 * time.Millisecond, Gap: 300 * time.Millisecond, Tries: 2})
 	}
 	return plan
--- a/scripts/mutants/main.go
+++ b/scripts/mutants/main.go
@@ -99,7 +99,7 @@
 	if bytes.Contains(out, []byte("[build failed]")) || bytes.Contains(out, []byte("no tests to run")) {
 		return false, "", fmt.Errorf("it does not build, or names no test: %s", out[:min(len(out), 600)])
 	}
-	red := regexp.MustCompile(`(?m)^.*\b` + regexp.QuoteMeta(one.rule) + `(:| at ).*$`).FindString(string(out))
+	red := regexp.MustCompile(`(?m)^.*\b` + regexp.QuoteMeta(one.rule) + `(: | at ).*$`).FindString(string(out))
 	return err != nil && red != "", strings.TrimSpace(red), nil
 }
 
--- a/scripts/mutants/main_test.go
+++ b/scripts/mutants/main_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("%s does not fit %s (%v)", one.name, one.file, err)
 		}
 	}
-	for _, rule := range []string{"twice", "foreign", "lost", "old config", "fallback", "leaving", "bad version", "flooded", "home", "evacuated", "retries", "recovery"} {
+	for _, rule := range []string{"twice", "foreign", "lost", "old config", "fallback", "leaving", "bad version", "flooded", "home", "evacuated", "retries", "recovery", "keys", "tenant"} {
 		if rules[rule] < 2 {
 			t.Errorf("only %d mutants for %q", rules[rule], rule)
 		}
