--- a/settings/chunk.go
+++ b/settings/chunk.go
@@ -53,24 +53,14 @@
 // what stands around a run of it.
 var cutLists = []struct{ key, open, end string }{{"routes", "[", "]"}, {"tenants", `{"tenants":[`, "]}"}}
 
-// list is whose run the chunk is.
-func (chunk *Chunk) list() string {
-	for _, one := range slices.Backward(cutLists) {
-		if strings.HasPrefix(chunk.Text, one.open) {
-			return one.key
-		}
-	}
-	return ""
-}
-
-// run is the text of a run within its chunk, without what stands around it.
-func (chunk *Chunk) run() string {
-	for _, one := range slices.Backward(cutLists) {
-		if strings.HasPrefix(chunk.Text, one.open) {
-			return strings.TrimSuffix(chunk.Text[len(one.open):], one.end)
+// list is which list the chunk is a run of, and the run's text without what stands around.
+func (chunk *Chunk) list() (key, run string) {
+	for _, one := range cutLists {
+		if run, isOne := strings.CutPrefix(chunk.Text, one.open); isOne {
+			return one.key, strings.TrimSuffix(run, one.end)
 		}
 	}
-	return ""
+	return "", ""
 }
 
 // listOf gives the one list of that key that a document has.
@@ -167,9 +157,10 @@
 	var own Problems
 	chunk.routes, chunk.tenants = nil, nil
 	list := gjson.Parse(chunk.Text)
-	isTenants := chunk.list() == "tenants"
+	key, _ := chunk.list()
+	isTenants := key == "tenants"
 	if isTenants {
-		list = list.Get("tenants")
+		list = list.Get(key)
 	}
 	list.ForEach(func(_, value gjson.Result) bool {
 		if isTenants {
@@ -183,6 +174,16 @@
 	*problems = append(*problems, own...)
 }
 
+// runsOf are the chunks of a list, in order.
+func (tree *Tree) runsOf(key string) (runs []*Chunk) {
+	for _, chunk := range tree.chunks[1:] {
+		if of, _ := chunk.list(); of == key {
+			runs = append(runs, chunk)
+		}
+	}
+	return runs
+}
+
 // Chunks are the document's, in order; they are not to be changed.
 func (tree *Tree) Chunks() []*Chunk { return tree.chunks }
 
@@ -192,14 +193,12 @@
 	return []byte(put(gjson.Parse(tree.chunks[0].Text), func(key string, _ gjson.Result) string {
 		var out strings.Builder
 		out.WriteByte('[')
-		for _, chunk := range tree.chunks[1:] {
-			if chunk.list() != key {
-				continue
-			}
+		for _, chunk := range tree.runsOf(key) {
 			if out.Len() > 1 {
 				out.WriteByte(',')
 			}
-			out.WriteString(chunk.run())
+			_, run := chunk.list()
+			out.WriteString(run)
 		}
 		out.WriteByte(']')
 		return out.String()
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -349,11 +349,9 @@
 			problems.add(path, "must be a list")
 			break
 		}
-		for _, chunk := range tree.chunks[1:] {
-			if chunk.list() == key {
-				chunk.read(len(tree.listed), problems)
-				tree.listed = append(tree.listed, chunk.routes...)
-			}
+		for _, chunk := range tree.runsOf(key) {
+			chunk.read(len(tree.listed), problems)
+			tree.listed = append(tree.listed, chunk.routes...)
 		}
 		tree.index(problems)
 	case "tenants":
@@ -362,11 +360,9 @@
 			break
 		}
 		tree.isTenanted = true
-		for _, chunk := range tree.chunks[1:] {
-			if chunk.list() == key {
-				chunk.read(len(tree.tenants), problems)
-				tree.tenants = append(tree.tenants, chunk.tenants...)
-			}
+		for _, chunk := range tree.runsOf(key) {
+			chunk.read(len(tree.tenants), problems)
+			tree.tenants = append(tree.tenants, chunk.tenants...)
 		}
 	case "engines":
 		tree.engines = map[string]*Engine{}
