Tenants' requests are counted over all data daemons as one whole; above a limit 429

Each region kept a tally of its own. Now data daemons tell a hub of their region what they let through, hubs tell one another, and a daemon asks its hub for tenants near their limit. What is not acknowledged is bounded on both levels, shares of those out of touch stay reserved.

Too much is yet declined right after a loss of all power.

--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -13,6 +13,7 @@
 	"swifttiller/execute"
 	"swifttiller/loop"
 	"swifttiller/permit"
+	"swifttiller/quota"
 	"swifttiller/replica"
 	"swifttiller/session"
 	"swifttiller/settings"
@@ -43,12 +44,14 @@
 	Client   *session.Client
 	Holder   *permit.Holder
 	Decider  *decide.Decider
+	Meter    *quota.Meter
 	Executor *execute.Executor
 	began    time.Duration
 	leaving  atomic.Bool
 	// wasMoving tells whether versions moved in the view before.
 	wasMoving atomic.Bool
 	attended  attended
+	limited   atomic.Pointer[limited]
 	inquirer  *loop.Waker
 }
 
@@ -65,8 +68,12 @@
 		World: options.World, Net: options.Net, Seeds: options.Live.Seeds, Region: options.Process.Region, Zone: options.Process.Zone, Name: options.Process.Name, Span: daemon.span,
 		Describe: func() session.Beat { return session.Beat{Member: daemon.Self(), Report: daemon.Decider.Report()} },
 	}
+	daemon.Meter = quota.NewMeter(quota.Options{World: options.World, Net: options.Net, Self: daemon.Self(), Limits: daemon.limits, Members: func() ([]session.Member, time.Duration) {
+		view := daemon.Holder.View()
+		return view.Members, view.Expiry
+	}})
 	daemon.Decider = decide.New(decide.Options{
-		World: options.World, Net: options.Net, Self: daemon.Self(), Began: daemon.began,
+		World: options.World, Net: options.Net, Self: daemon.Self(), Began: daemon.began, Quota: daemon.Meter,
 		Holder: func() *permit.View { return daemon.Holder.View() },
 	})
 	daemon.Holder = permit.NewHolder(permit.HolderOptions{
@@ -141,7 +148,7 @@
 // Services registers what others call.
 func (daemon *Daemon) Services() *rpc.Server {
 	server := rpc.NewServer()
-	for name, service := range map[string]any{"Permit": permitService{daemon.Holder}, "Ticket": ticketService{daemon.Decider}, "Process": settings.Service{Live: daemon.Live}} {
+	for name, service := range map[string]any{"Permit": permitService{daemon.Holder}, "Ticket": ticketService{daemon.Decider}, "Process": settings.Service{Live: daemon.Live}, "Quota": quota.Service{Meter: daemon.Meter}} {
 		if err := server.RegisterName(name, service); err != nil {
 			panic(err) // only our own types come here
 		}
@@ -153,6 +160,7 @@
 func (daemon *Daemon) Run() {
 	daemon.World.Go(daemon.Client.Run)
 	daemon.World.Go(daemon.Holder.Run)
+	daemon.World.Go(daemon.Meter.Run)
 	if relay, isRelay := daemon.Relayer.(*replica.Relay); isRelay {
 		daemon.World.Go(func() { daemon.tend(relay) })
 	}
--- a/dataplane/http.go
+++ b/dataplane/http.go
@@ -232,7 +232,7 @@
 	}
 	return map[string]any{
 		"member": daemon.Self(), "serial": view.Serial, "permit_left_ms": (view.Expiry - daemon.World.Now()).Milliseconds(),
-		"permit_declined": declined, "evacuated": slices.Sorted(maps.Keys(view.Evacuated)), "standings": rows, "members": view.Members, "report": daemon.Decider.Report(),
+		"quota": daemon.Meter.Status(), "permit_declined": declined, "evacuated": slices.Sorted(maps.Keys(view.Evacuated)), "standings": rows, "members": view.Members, "report": daemon.Decider.Report(),
 	}
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -84,6 +84,16 @@
 	Self   session.Member
 	// Began is when this incarnation started, on the world's clock.
 	Began time.Duration
+	// Quota, if set, counts tenants' requests against their limits.
+	Quota Quota
+}
+
+// Quota is asked for each request of a tenant.
+type Quota interface {
+	// Ask tells whether it is within the tenant's limit, and when the next one may be.
+	Ask(tenant string) (comeBack time.Duration, isAllowed bool)
+	// Return gives back one that was, and has not run.
+	Return(tenant string)
 }
 
 type use struct {
--- a/decide/route.go
+++ b/decide/route.go
@@ -39,11 +39,40 @@
 	// owner is what requests with the same shared parts have in common, key what their
 	// owner is found by.
 	owner, key uint64
+	// isCounted tells that it counts against its tenant's limit.
+	isCounted bool
 }
 
 // Direct finds the route of a request and the model that gets it, or declines. The
 // configuration is the one that the permit stands under at this moment.
+//
+// What is above the tenant's limit is declined; that may wait for another daemon's word, and
+// so is asked outside the lock.
 func (decider *Decider) Direct(routed *Routed) *verdict.Mishap {
+	if mishap := decider.direct(routed); mishap != nil {
+		return mishap
+	}
+	if decider.Quota == nil || routed.Tenant == nil {
+		return nil
+	}
+	comeBack, isAllowed := decider.Quota.Ask(routed.Tenant.Name)
+	if routed.isCounted = isAllowed; isAllowed {
+		return nil
+	}
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	return decider.decline(429, "over_quota", "the tenant is above its limit", comeBack)
+}
+
+// Unran gives a directed request that has not run back to its tenant's limit.
+func (decider *Decider) Unran(routed *Routed) {
+	if routed.isCounted {
+		routed.isCounted = false
+		decider.Quota.Return(routed.Tenant.Name)
+	}
+}
+
+func (decider *Decider) direct(routed *Routed) *verdict.Mishap {
 	view := decider.Holder()
 	now := decider.World.Now()
 	decider.guard.Lock()
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -68,6 +68,9 @@
 	passage.record = Record{ID: routed.ID, Model: routed.Model, Kind: routed.Route.Name, Began: routed.Came, At: executor.World.Wall()}
 	if mishap := passage.dispatch(); mishap != nil {
 		passage.finish(mishap)
+		if mishap.Verdict == verdict.NotRun {
+			executor.Decider.Unran(routed)
+		}
 		return nil, mishap
 	}
 	return passage, nil
--- a/settings/tenants.go
+++ b/settings/tenants.go
@@ -33,6 +33,9 @@
 // request needs a key, but on a keyless route.
 func (tree *Tree) Tenanted() bool { return tree.isTenanted }
 
+// Tenants are all of them, in their order in the document.
+func (tree *Tree) Tenants() []*Tenant { return tree.tenants }
+
 // KeyHolder is the tenant that holds the key; nil when none does.
 func (tree *Tree) KeyHolder(key string) *Tenant { return tree.holders[key] }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -18,6 +18,10 @@
 // meaning. Times are in milliseconds.
 var Limits = map[string]Bound{
 	"permit_ms":          {2000, 300, 2800, "how long a data daemon may serve after it last asked a core majority"},
+	"quota_window_ms":    {5000, 500, 600000, "the span within which a tenant's requests are counted against its limit"},
+	"quota_excess":       {0.1, 0.01, 1, "by how much a tenant's limit may be exceeded within the window, as a ratio"},
+	"quota_slack":        {20, 4, 100000, "requests that a tenant may make above that within the window"},
+	"quota_reserve_ms":   {60000, 1000, 86400000, "how long a data daemon that is not heard any more keeps its share of tenants' limits"},
 	"alone_ms":           {0, 0, 86400000, "how long a data daemon serves routed requests by what it last knew, once its permit has ended"},
 	"session_ms":         {1500, 300, 3000, "how long a daemon stays a member unheard"},
 	"replace_ms":         {1500, 200, 600000, "how long an acceptor of the core may be unheard before one that waits takes its place"},
