--- a/quota/hub.go
+++ b/quota/hub.go
@@ -51,9 +51,9 @@
 	// Count is how many daemons tell this hub, InTouch how many tell the hubs that it hears
 	// and that hear it, itself among them.
 	Count, InTouch int
-	// IsTouched tells that the receiver hears the sender and is heard, as the sender sees it,
-	// and reckons with the same others.
-	IsTouched bool
+	// IsTouched tells that the receiver hears the sender and is heard, as the sender sees it;
+	// IsParted that the sender goes by the share of its own daemons.
+	IsTouched, IsParted bool
 	// IsNew asks for the table of the buckets.
 	IsNew bool
 	// Age is for how long the sender has been a hub, in ms.
@@ -92,8 +92,9 @@
 	// inTouch is how many daemons it takes to be in touch with one another, itself and those
 	// that tell it among them.
 	inTouch int
-	// isAgreed tells that the colleague sees it in the same way that it is in touch.
-	isAgreed bool
+	// isAgreed tells that the colleague sees it in the same way that it is in touch, isParted
+	// that it goes by the share of its own daemons all the same.
+	isAgreed, isParted bool
 }
 
 // isHeeded tells whether what it has not heard of matters here.
@@ -114,6 +115,8 @@
 	lives      int
 	isOpen     bool // daemons tell it
 	isTaught   bool // another hub has given it its table
+	isYoung    bool // its daemon has only just got a list of all
+	hailed     time.Duration
 	born       time.Duration
 	looked     time.Duration
 	limits     *Limits
@@ -156,8 +159,8 @@
 }
 
 // receive takes in a daemon that did not tell this hub of late. It brings its share of the
-// limits, and of what the buckets held as its hub before told; where it was told nothing of
-// late, of a part of the error.
+// limits, and of one part of the error, or of what its hub before told that a bucket held where
+// that is less.
 func (hub *hub) receive(now time.Duration, report Report) {
 	one := 1 / float64(max(1, hub.all))
 	hub.share = min(1, hub.share+one)
@@ -176,14 +179,12 @@
 		}
 		level := limit.part
 		if isTold {
-			isPressed := false
-			if level, isPressed = levels[key]; !isPressed {
-				level = limit.most * told.Share / 2
+			if held, isPressed := levels[key]; isPressed {
+				level = min(max(held/told.Share, -limit.part), limit.part)
 			}
-			level /= told.Share
 		}
 		hub.bucket(now, limit)
-		if report.IsBare {
+		if report.IsBare || hub.isYoung {
 			level = min(0, level)
 		}
 		brought := hub.lot(limit, report.From, level*one)
@@ -322,7 +323,8 @@
 // charge takes from a bucket what was let through.
 func (hub *hub) charge(now time.Duration, limit *known, one count, isOwn bool) {
 	bucket := hub.bucket(now, limit)
-	bucket.level = min(bucket.level-float64(one.used), hub.room(limit))
+	// More debt than the whole error there can't be: it was charged twice.
+	bucket.level = max(min(bucket.level-float64(one.used), hub.room(limit)), -errorParts*limit.part)
 	bucket.all += float64(one.asked)
 	if isOwn {
 		bucket.own += float64(one.asked)
@@ -426,7 +428,7 @@
 		// It is new, and is told all from now on, what is in its table left out.
 		*one = colleague{address: letter.Address, incarnation: letter.From, since: now, out: outbox{seq: one.out.seq, since: one.out.seq}}
 	}
-	one.in.heard, one.count, one.inTouch, one.isAgreed = now, letter.Count, letter.InTouch, letter.IsTouched
+	one.in.heard, one.count, one.inTouch, one.isAgreed, one.isParted = now, letter.Count, letter.InTouch, letter.IsTouched, letter.IsParted
 	if now-hub.born >= hub.limits.quiet() && letter.IsNew {
 		// What happens from now on it is told, as it is a colleague now.
 		out.Table = hub.table(now)
@@ -473,6 +475,19 @@
 	return out
 }
 
+// prepare has a daemon that others hail become a hub: it learns from other hubs what the
+// buckets hold before it is told anything. It tells whether that is done, or can't be.
+func (hub *hub) prepare(now time.Duration) (isReady bool) {
+	hub.guard.Lock()
+	defer hub.guard.Unlock()
+	if hub.isYoung {
+		return false
+	}
+	hub.attend(now)
+	hub.hailed = now
+	return hub.isTaught || now-hub.born >= hub.limits.quiet()
+}
+
 // write gives what to tell a colleague; not open means that nobody tells this hub.
 func (hub *hub) write(now time.Duration, address, own string) (letter Letter, isOpen bool) {
 	hub.guard.Lock()
@@ -481,7 +496,7 @@
 		return Letter{}, false
 	}
 	one := hub.colleague(now, address)
-	letter = Letter{From: hub.id(), Address: own, Count: hub.count(now), InTouch: hub.inTouch, IsTouched: hub.isLive(now, one) && !hub.isParted(now), Pressure: hub.pressure(now), Age: uint64((now - hub.born) / time.Millisecond)}
+	letter = Letter{From: hub.id(), Address: own, Count: hub.count(now), InTouch: hub.inTouch, IsTouched: hub.isLive(now, one), IsParted: hub.isParted(now), Pressure: hub.pressure(now), Age: uint64((now - hub.born) / time.Millisecond)}
 	letter.IsNew = !hub.isTaught && now-hub.born < hub.limits.quiet()
 	letter.Seq, letter.Since, letter.Sums = one.out.write()
 	return letter, true
@@ -520,10 +535,12 @@
 }
 
 // look brings the hub's share up to date, and what follows from it.
-func (hub *hub) look(now time.Duration, limits *Limits, all int, isOver bool) {
+//
+// A daemon that is young knows too few of the others, and that has no share to give.
+func (hub *hub) look(now time.Duration, limits *Limits, all int, isYoung, isOver bool) {
 	hub.guard.Lock()
 	defer hub.guard.Unlock()
-	hub.all = all
+	hub.all, hub.isYoung = all, isYoung
 	hub.limits = limits
 	if !hub.isOpen {
 		return
@@ -534,7 +551,7 @@
 	}
 	hub.looked = now
 	count := hub.count(now)
-	if count == 0 {
+	if count == 0 && now-hub.hailed >= limits.quiet() {
 		hub.isOpen = false
 		return
 	}
@@ -555,7 +572,7 @@
 	for address, one := range hub.colleagues {
 		isTouched := hub.isTouched(now, one)
 		// One that has only just become known is told all from then on.
-		isSilent := isApart || !isTouched && now-one.since >= limits.quiet()
+		isSilent := isApart || one.isParted || !isTouched && now-one.since >= limits.quiet()
 		if isSilent && !one.isSilent {
 			gone[one] = true
 		}
@@ -563,7 +580,7 @@
 		if !isTouched && now-max(one.since, one.in.heard, one.answered) > forgetTimes*limits.quiet() {
 			delete(hub.colleagues, address)
 		}
-		if isTouched && !isApart {
+		if isTouched && !isSilent {
 			count += one.count
 		}
 	}
@@ -571,7 +588,7 @@
 	if hub.isTaught && now-hub.born < limits.quiet() {
 		share = max(share, hub.share) // others are yet to come
 	}
-	if isOver {
+	if isYoung || isOver {
 		share = 0
 	}
 	hub.rescale(now, share, gone)
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -39,9 +39,13 @@
 	at    string
 	heard time.Duration
 	// moved is when it last took its share to another hub.
-	moved    time.Duration
-	told     Pressure
-	pressed  map[uint64]bool
+	moved   time.Duration
+	told    Pressure
+	pressed map[uint64]bool
+	// began is when it first had a list; isReady tells that it may be its own hub though
+	// others are there.
+	began    time.Duration
+	isReady  bool
 	isFlying bool
 	isDue    bool
 	waiters  []*waiter
@@ -207,6 +211,11 @@
 				meter.moved = now
 			}
 			meter.at, meter.heard, meter.told = address, now, word.Pressure
+			// Those that come behind it are as good as any once it is gone.
+			addresses := meter.regions[meter.Self.Region]
+			for _, other := range addresses[slices.Index(addresses, address)+1:] {
+				delete(meter.shunned, other)
+			}
 			meter.pressed = make(map[uint64]bool, len(word.Pressure.Keys))
 			for _, key := range word.Pressure.Keys {
 				meter.pressed[key] = true
@@ -257,7 +266,7 @@
 // best is the hub to tell: the first of the region's daemons that answers.
 func (meter *Meter) best() string {
 	for _, address := range meter.regions[meter.Self.Region] {
-		if !meter.shunned[address] || address == meter.Self.Wire {
+		if address == meter.Self.Wire && meter.isReady || address != meter.Self.Wire && !meter.shunned[address] {
 			return address
 		}
 	}
@@ -329,14 +338,24 @@
 	inTouch := meter.hub.inTouch
 	meter.hub.guard.Unlock()
 	meter.guard.Lock()
+	if meter.began == 0 {
+		meter.began = max(1, now)
+	}
+	isYoung := now-meter.began < limits.quiet()
 	meter.enlist(now, list, limits.Reserve+limits.Window, 2*inTouch > len(meter.members))
 	all := len(meter.members)
 	// A daemon without a list for so long may have lost its share to the others.
 	isOver := now > listed+limits.Reserve && 2*inTouch <= all
 	lost := meter.lost()
+	isBetter := !meter.isReady && meter.at != meter.Self.Wire && rank(meter.Self.Wire) > rank(meter.at)
 	meter.fly()
 	meter.guard.Unlock()
-	meter.hub.look(now, limits, all, isOver)
+	meter.hub.look(now, limits, all, isYoung, isOver)
+	if isReady := !isBetter || meter.hub.prepare(now); isReady && !isYoung {
+		meter.guard.Lock()
+		meter.isReady = true
+		meter.guard.Unlock()
+	}
 	for _, address := range lost {
 		meter.World.Go(func() { meter.hail(address, limits.wait()) })
 	}
@@ -347,6 +366,9 @@
 // one, and some of the others by lot.
 func (meter *Meter) lost() (out []string) {
 	for _, address := range meter.regions[meter.Self.Region] {
+		if address == meter.Self.Wire && !meter.isReady {
+			continue
+		}
 		if !meter.shunned[address] || address == meter.Self.Wire {
 			break
 		}
@@ -465,11 +487,11 @@
 // errNew is what a daemon answers that does not know the limits yet.
 var errNew = errors.New("this daemon has no list of daemons yet")
 
-// isNew tells whether it has none.
+// isNew tells whether it has none, or has had one for too short a time for it to be whole.
 func (meter *Meter) isNew() bool {
 	meter.guard.Lock()
 	defer meter.guard.Unlock()
-	return len(meter.list) == 0
+	return meter.began == 0 || meter.World.Now()-meter.began < meter.Limits().quiet()
 }
 
 // Service is what daemons call of one another.
@@ -492,7 +514,9 @@
 
 // Hail answers that this daemon is there.
 func (service Service) Hail(_ string, incarnation *string) error {
-	if service.Meter.isNew() {
+	meter := service.Meter
+	if meter.isNew() || !meter.hub.prepare(meter.World.Now()) {
+		meter.share()
 		return errNew
 	}
 	*incarnation = service.Meter.Self.Incarnation
