--- a/fleet/checkrouted.go
+++ b/fleet/checkrouted.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -27,7 +31,7 @@
 var RoutedRules = []Rule{
 	{"rerun", rerun}, {"promise", promise}, {"whole", whole}, {"held", held}, {"routes", routes}, {"routed leaving", routedLeaving}, {"cold", cold},
 	{"routed home", routedHome}, {"routed evacuated", routedEvacuated}, {"routed retries", routedRetries}, {"routed lost", routedLost}, {"fallback", fallback},
-	{"keys", keys}, {"tenant", tenants},
+	{"keys", keys}, {"tenant", tenants}, {"quota", quotas},
 }
 
 // CheckRouted applies them.
@@ -333,6 +337,53 @@
 	return all, judged
 }
 
+// Terms of the rule for tenants' limits.
+const (
+	quotaWindow = 5 * time.Second
+	quotaExcess = 0.1
+	quotaSlack  = 20
+)
+
+// quotas: in no window do more requests of a tenant run than its limit and the error allow,
+// counted over all daemons. Judged: windows that end with a run of a tenant with a limit.
+func quotas(park *Park, facts Facts) (all []Broken, judged int) {
+	byTenant := map[string][]*Run{}
+	for _, run := range park.Runs {
+		if run.Ran > 0 && run.Tenant != "" {
+			byTenant[run.Tenant] = append(byTenant[run.Tenant], run)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(byTenant)) {
+		runs := byTenant[name]
+		slices.SortStableFunc(runs, func(a, b *Run) int { return cmp.Compare(a.At, b.At) })
+		begin, isBroken := 0, false
+		for at, run := range runs {
+			for runs[begin].Sent <= run.At-quotaWindow {
+				begin++
+			}
+			// A lower limit binds a window after it is in force everywhere.
+			most := 0.0
+			for _, book := range facts.books(max(0, run.At-2*quotaWindow), run.At) {
+				holder := book.Tree.TenantNamed(name)
+				if holder == nil || holder.PerSecond <= 0 {
+					most = math.Inf(1)
+					break
+				}
+				most = max(most, (holder.PerSecond*quotaWindow.Seconds()+holder.Burst)*(1+quotaExcess)+quotaSlack)
+			}
+			if math.IsInf(most, 1) {
+				continue
+			}
+			judged++
+			if count := at - begin + 1; float64(count) > most && !isBroken {
+				isBroken = true
+				all = append(all, Broken{"quota", run.At, fmt.Sprintf("%d requests of %s ran within %v, at the most %.0f may", count, name, quotaWindow, most)})
+			}
+		}
+	}
+	return all, judged
+}
+
 // routedHome: a request whose route or tenant has homes reaches engines in those alone,
 // which are those of both where both have some. Judged: runs of such requests.
 func routedHome(park *Park, facts Facts) (all []Broken, judged int) {
--- a/fleet/faultsrouted.go
+++ b/fleet/faultsrouted.go
@@ -112,8 +112,87 @@
 
 func (park *Park) someData() string { return park.pick(park.Plan.Datas) }
 
+// flood starts callers of the fair in all regions for the span, several times above its limit.
+func (park *Park) flood(span time.Duration) {
+	for _, region := range park.Shape.Regions {
+		for _, crowd := range park.Plan.Routed {
+			if crowd.Name == "check-"+region {
+				crowd.Name, crowd.Keys, crowd.Workers = "fair-"+region, []string{"fair-1"}, 12
+				crowd.Pause, crowd.Shared, crowd.Own, crowd.Most, crowd.Until = 200*time.Millisecond, 0, 100, 4, park.Now()+span
+				park.crowdRouted(&crowd)
+			}
+		}
+	}
+}
+
+// fair has the fair flood while a trouble runs, and looks whether its limit was used up.
+func fair(trouble func(park *Park, facts *Facts)) func(*Park, *Facts) {
+	return func(park *Park, facts *Facts) {
+		park.flood(9 * time.Second)
+		park.Run(time.Second)
+		trouble(park, facts)
+		park.Run(10 * time.Second)
+		ran, declined := 0, 0
+		for _, run := range park.Runs {
+			if run.Tenant == "fair" && run.Ran > 0 {
+				ran++
+			}
+		}
+		for _, one := range park.RoutedRequests {
+			for _, try := range one.Tries {
+				if try.Key == "fair-1" && try.Code == "over_quota" {
+					declined++
+				}
+			}
+		}
+		facts.Must(fmt.Sprintf("of the fair's requests %d ran and %d were declined", ran, declined), ran >= 30 && declined >= 50)
+	}
+}
+
+// hubs are the data daemons that count for others.
+func (park *Park) hubs() (names []string) {
+	for _, word := range park.Plan.Datas {
+		if name, _ := split(word); park.Node(name).Up() && park.Datas[name].Meter.Status().Hub == name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // RoutedFaults are all that is tried with routed requests, singly.
 var RoutedFaults = []Fault{
+	{"a tenant far above its limit", true, fair(func(*Park, *Facts) {}), []string{"quota"}},
+	{"a tenant far above its limit, and its hubs die", false, fair(func(park *Park, _ *Facts) {
+		names := park.hubs()
+		for _, name := range names {
+			park.Crash(name)
+			park.Run(300 * time.Millisecond)
+		}
+		park.Run(2 * time.Second)
+		for _, name := range names {
+			park.StartData(name)
+		}
+	}), []string{"quota"}},
+	{"a tenant far above its limit, and a hub freezes", false, fair(func(park *Park, _ *Facts) {
+		park.Freeze(park.hubs()[0], 2500*time.Millisecond)
+		park.Run(3 * time.Second)
+	}), []string{"quota"}},
+	{"a tenant far above its limit, and a region is cut off", false, fair(func(park *Park, _ *Facts) {
+		in, out := park.inRegion(park.Shape.Regions[1])
+		park.Split(in, out, true)
+		park.Run(4 * time.Second)
+		park.Split(in, out, false)
+	}), []string{"quota"}},
+	{"a tenant far above its limit, and all control daemons die", false, fair(func(park *Park, _ *Facts) {
+		for _, name := range park.controls() {
+			park.Crash(name)
+		}
+		park.Run(4 * time.Second)
+		for _, name := range park.controls() {
+			park.StartControl(name)
+		}
+		park.Run(2 * time.Second)
+	}), []string{"quota"}},
 	{"engine crashes and comes back cold", false, func(park *Park, _ *Facts) {
 		name := park.anyEngine()
 		options := park.Engines[name].EngineOptions
--- a/fleet/routed_test.go
+++ b/fleet/routed_test.go
@@ -216,6 +216,18 @@
 			one.Tries[0].Key = "nobody's"
 			return func() { one.Tries[0].Key = before }
 		},
+		"quota": func(*fleet.Facts) func() {
+			// All that ran is called the fair's.
+			before := map[*fleet.Run]string{}
+			for _, run := range park.Runs {
+				before[run], run.Tenant = run.Tenant, "fair"
+			}
+			return func() {
+				for run, tenant := range before {
+					run.Tenant = tenant
+				}
+			}
+		},
 		"keys/401": func(*fleet.Facts) func() {
 			_, one := runOf("check-south")
 			before := *one.Tries[0]
--- a/fleet/routes.go
+++ b/fleet/routes.go
@@ -34,12 +34,14 @@
 type TenantWords map[string]string
 
 // Tenanted is the shape with tenants whose keys its callers have. The harbour may be served
-// in the first two regions alone; the route of moved requests is keyless.
+// in the first two regions alone; the route of moved requests is keyless. The fair has a limit,
+// and no callers but in some faults.
 func (shape RoutedShape) Tenanted() RoutedShape {
 	shape.Tenants = TenantWords{
 		"harbour": fmt.Sprintf(`"keys":["harbour-1","harbour-2"],"urgency":0,"homes":[%q,%q]`, shape.Regions[0], shape.Regions[1]),
 		"market":  `"keys":["market-1","market-2"]`,
 		"school":  `"keys":["school-1"],"urgency":3`,
+		"fair":    `"keys":["fair-1"],"per_s":6,"burst":6`,
 	}
 	return shape
 }
--- a/quota/hub.go
+++ b/quota/hub.go
@@ -356,10 +356,12 @@
 		if rate <= 0 {
 			return granted, hub.limits.Window
 		}
-		// Of those who come back then, some are in excess too.
-		excess := max(1, one.all/float64(hub.limits.Window/errorParts)*float64(time.Second)/rate)
-		wait = time.Duration((max(0, 1-one.level) + excess) / rate * float64(time.Second))
-		wait = min(max(wait, hub.limits.Window/waitParts), hub.limits.Window/2)
+		// As long as others ask for more than there is, who comes back soon is declined again:
+		// the further above the limit, the more of the window it is worth to wait.
+		asked := one.all / (hub.limits.Window / errorParts).Seconds()
+		wait = time.Duration(max(0, 1-one.level) / rate * float64(time.Second))
+		wait = max(wait, hub.limits.Window/waitParts, time.Duration((1-rate/max(asked, rate))*float64(hub.limits.Window)))
+		wait = min(wait, hub.limits.Window)
 	}
 	return granted, wait
 }
