--- a/quota/hub.go
+++ b/quota/hub.go
@@ -274,15 +274,16 @@
 	return one.in.heard > 0 && one.answered > 0 && now-one.in.heard < hub.limits.quiet() && now-one.answered < hub.limits.quiet()
 }
 
-// unheard is the most that some colleague who may be in touch has not heard of a tenant, and
-// hubs how many such colleagues there are.
-func (hub *hub) unheard(key uint64) (most int64, hubs int) {
+// unheard is the most that some colleague who may be in touch has not heard of a tenant: what
+// was let through, and what was asked for; hubs is how many such colleagues there are.
+func (hub *hub) unheard(key uint64) (most int64, asked float64, hubs int) {
 	for _, one := range hub.colleagues {
 		if one.isHeeded() {
-			most, hubs = max(most, one.out.used(key)), hubs+1
+			gathered := one.out.gathered[key]
+			most, asked, hubs = max(most, gathered.used), max(asked, float64(gathered.asked)), hubs+1
 		}
 	}
-	return most, hubs
+	return most, asked, hubs
 }
 
 // ahead is how many a hub may let through whatever others know.
@@ -338,13 +339,15 @@
 // grant lets through what it may of the wanted, and tells when the next one may be.
 func (hub *hub) grant(now time.Duration, limit *known, wanted uint64) (granted uint64, wait time.Duration) {
 	one := hub.bucket(now, limit)
-	one.own, one.all = one.own+float64(wanted), one.all+float64(wanted)
-	unheard, hubs := hub.unheard(limit.key)
-	// What others may do with the bucket meanwhile is in the measure of what they ask for.
+	unheard, asked, hubs := hub.unheard(limit.key)
+	// What others may do with the bucket meanwhile is in the measure of what is asked for
+	// there, and what is asked for here in that of what they know of.
 	part, ahead := 1.0, math.Inf(1)
 	if hubs > 0 {
-		part, ahead = min(1, one.own/max(one.all, 1)), hub.ahead(limit)
+		own, all := max(0, one.own-asked), max(0, one.all-asked)
+		part, ahead = (own+1)/(max(own, all)+1+float64(hubs)), hub.ahead(limit)
 	}
+	one.own, one.all = one.own+float64(wanted), one.all+float64(wanted)
 	for granted < wanted && one.level >= 1 && float64(unheard+1) <= max(part*(one.level+float64(max(0, unheard))), ahead) {
 		one.level--
 		granted, unheard = granted+1, unheard+1
