Lives that are over are told by the holder of the region's duty

Cause: after the loss of a region its engines are there again under new lives, at their addresses, before the list shows them. Each data daemon found out by a request of its own that a life was over (421), for each replica; one that has just begun anew has nothing in its budget of repeats, and declined the caller.

Ruled out: permits (the last at 18.0 s, 1.1 s after the region's control daemons listen), the breaker (no daemon of another region met a former life).

A probe that is answered by another one is proof that the life before it is over: the holder's table marks it, the standing is computed at once, and whoever it drops is told to all data daemons, as any other is. Such replicas do not count as dim either.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -18,6 +18,7 @@
 	"swifttiller/session"
 	"swifttiller/settings"
 	"swifttiller/standing"
+	"swifttiller/verdict"
 	"swifttiller/workflow"
 )
 
@@ -31,6 +32,9 @@
 	answered time.Duration
 	leaving  bool
 	unlisted bool
+	// isOver tells that another one answered at its address, so that its life is over,
+	// whatever the list still shows; a later answer of its own would take that back.
+	isOver bool
 	// wasWell tells whether it ever answered that it is well. condemned is until when it
 	// is out, as it says that it is ill and what daemons sent it bears that out.
 	wasWell   bool
@@ -336,9 +340,15 @@
 			}
 			region.guard.Lock()
 			defer region.guard.Unlock()
+			if mishap, isMishap := err.(*verdict.Mishap); isMishap && mishap.Code == replica.AnewCode && !one.isOver {
+				// Else each data daemon would find out by a request of its own.
+				one.isOver = true
+				region.computer.Wake()
+			}
 			if err != nil || asked < one.answered {
 				return
 			}
+			one.isOver = false
 			if vitals.Ill && !one.wasWell && tallies[one.id].OK == 0 {
 				return // it is not there yet
 			}
@@ -400,7 +410,7 @@
 	}
 	dim, all := 0, 0 // engines' replicas that do not answer probes, and all of them
 	for _, one := range region.table {
-		if one.engine(tree) != nil && !one.leaving && !one.unlisted {
+		if one.engine(tree) != nil && !one.leaving && !one.unlisted && !one.isOver {
 			all++
 			if !one.probed || now-one.answered >= dark {
 				dim++
@@ -415,7 +425,7 @@
 	for _, one := range region.table {
 		row := standing.Replica{
 			ID: one.ID, Address: one.Address, Zone: one.Zone, Region: region.name,
-			Leaving: one.leaving || one.unlisted, Alive: one.probed && now-one.answered < dark,
+			Leaving: one.leaving || one.unlisted || one.isOver, Alive: one.probed && now-one.answered < dark,
 			Boot: one.boot(tree), Held: one.vitals.Held, Load: one.vitals.Load, Cold: now < one.coldUntil,
 		}
 		if one.Version != "" {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -344,7 +344,7 @@
 	vitals, isFull := got.(probed).vitals, got.(probed).isFull
 	switch {
 	case vitals.Boot != target.ID:
-		return replica.Vitals{}, errors.New("another one answers at its address")
+		return replica.Vitals{}, replica.Anew()
 	case isFull:
 		// As the real dialect: a status that is no 200 is no answer.
 		return vitals, errors.New("the probe was answered 503")
--- a/replica/relay.go
+++ b/replica/relay.go
@@ -85,7 +85,8 @@
 	Write(ask *Ask, into *fasthttp.Request)
 	// Read reads the head of an answer to the ask.
 	Read(ask *Ask, answer *fasthttp.Response) Head
-	// Probe asks a replica how it does.
+	// Probe asks a replica how it does; the error is Anew where another one answers at its
+	// address, so that its life is over.
 	Probe(target Target, patience time.Duration) (Vitals, error)
 }
 
