A new holder of a duty keeps the lives that were shown, also where the list came first

Cause: where the platform's list fills a new holder's table before the last standing does, the replicas in it have no life yet, and the next standing shows them under another one. What was shown before counts as dropped, and is told to all data daemons, which go without the region.

Ruled out: a standing computed without replicas (none was).

The restoring gives such an entry the life that was shown. Where a life is known by its name in the list, as on the users' machines, nothing changes.

--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -467,6 +467,10 @@
 		return false
 	}
 	for _, place := range last.Places {
+		// The list may have come first.
+		if have := region.table[place.ID]; have != nil && !have.probed && have.vitals.Boot == "" && have.Address == place.Address {
+			have.vitals.Boot = place.Boot
+		}
 		if region.table[place.ID] == nil {
 			one := &watched{Listed: listing.Listed{ID: place.ID, Address: place.Address, Zone: place.Zone}, answered: now, vitals: replica.Vitals{Boot: place.Boot}}
 			for _, row := range last.Rows {
--- a/fleet/grown_test.go
+++ b/fleet/grown_test.go
@@ -192,11 +192,17 @@
 // TestUnprobedRegionStays: a control daemon that takes a region's duty while the region's
 // replicas answer nobody's probes shows no region without replicas.
 func TestUnprobedRegionStays(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { unprobed(t, seed) })
+	}
+}
+
+func unprobed(t *testing.T, seed uint64) {
 	plan := grown(6, 18, 3)
 	for index := range plan.Replicas {
 		plan.Replicas[index].Mute = true // the list tells what it holds
 	}
-	park := fleet.NewPark(4, plan)
+	park := fleet.NewPark(seed, plan)
 	defer park.Close()
 	park.Run(15 * time.Second)
 	var controls, replicas []string
