Replicas out of reach are tried by one request a while where there are no others

Cause: where all replicas of a request were shunned it went to those in doubt all the same. Now a replica to which no connection opens is out until one does; one request each 0.1 s tries one of the own region, each 0.6 s one of another; the rest are declined at once, to come back in as long as that has lasted, 0.5 to 2 s.

Ruled out: the evacuation (obeyed in 0.8 s), permits, the breaker of the region (it lets one request a while through, but only where others may serve).

TestNobodyInReach, red before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -141,6 +141,10 @@
 	// readRate is how fast they read prompts, zero until learned.
 	engines map[string]*engine
 	ways    map[string]*way // to other regions, by region
+	// tried is when a region's replicas were last tried that can't be reached.
+	tried map[string]time.Duration
+	// lacks is since when no replica is in sight for a route, by its name.
+	lacks map[string]time.Duration
 	// wanted is when a request last found a replica paced only as nobody keeps its standing.
 	wanted   time.Duration
 	readRate float64
@@ -165,7 +169,7 @@
 
 // New makes a decider.
 func New(options Options) *Decider {
-	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, ways: map[string]*way{}, repeats: map[string]*budget{}, digests: map[string]*digest{}}
+	decider := &Decider{Options: options, uses: map[string]*use{}, judging: newJudging(), demand: map[string]*flow{}, released: map[string]*flow{}, suspects: map[string]suspect{}, fullUntil: map[string]time.Duration{}, past: map[string]string{}, engines: map[string]*engine{}, ways: map[string]*way{}, tried: map[string]time.Duration{}, lacks: map[string]time.Duration{}, repeats: map[string]*budget{}, digests: map[string]*digest{}}
 	decider.counts.Declined = map[string]uint64{}
 	decider.window.totals = map[standing.Outcome]standing.Outcome{}
 	decider.tickets.init()
@@ -305,6 +309,9 @@
 		return 0, decider.decline(503, "moved_on", "the replica is no longer to be used", 0)
 	}
 	selection.Serial = view.Serial
+	if selection.seat != nil {
+		selection.seat.isUnreached = false // its connection stands
+	}
 	return view.Serial, nil
 }
 
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -78,6 +78,8 @@
 	// strikes are such mishaps in a row.
 	shunned time.Duration
 	strikes int
+	// isUnreached tells that a connection there could not be opened, and none could since.
+	isUnreached bool
 	// vouched is when the replica last showed that it is alive.
 	vouched time.Duration
 	// flowing are the streams that have begun and not ended.
--- a/decide/route.go
+++ b/decide/route.go
@@ -140,6 +140,8 @@
 	unread           int
 	// isOwner and isHeir tell whose the shared parts are, by claim.
 	isOwner, isHeir bool
+	// isTry tells that it can't be reached, as far as is known.
+	isTry bool
 }
 
 // Route gives a replica to a directed request, waiting a little for one that may get
@@ -170,7 +172,7 @@
 		if next == 0 || now+next > until {
 			mishap := decider.decline(503, "no_replica", "no replica can serve this now", max(comeBackSoon, min(next, comeBackLater)))
 			if next == 0 {
-				mishap.ComeBack = comeBackLater
+				mishap.ComeBack = decider.lacking(routed.Route.Name, now)
 			}
 			decider.guard.Unlock()
 			return nil, mishap
@@ -185,6 +187,17 @@
 	}
 }
 
+// lacking gives when a request is worth another try for whose route no replica is in sight: in
+// as long as none has been already, within bounds, as nothing else tells how long that lasts.
+func (decider *Decider) lacking(route string, now time.Duration) time.Duration {
+	since, has := decider.lacks[route]
+	if !has {
+		since = now
+		decider.lacks[route] = now
+	}
+	return max(comeBackLater, min(now-since, comeBackMost))
+}
+
 // Ratios of a route's target: how long a request may wait before it is offered to a
 // replica. What waits longer is declined, and told when to come back.
 const (
@@ -233,7 +246,7 @@
 		home = placement.Home(routed.owner, decider.Self.Region, route.Within)
 	}
 	readers := decider.readers(view, routed.Model)
-	var shunned []prospect
+	var shunned, unreached []prospect
 	for _, region := range view.Tree.Regions() {
 		one, has := view.Standings[region]
 		if !has || !route.Within(region) {
@@ -266,8 +279,13 @@
 			}
 			wait := max(seat.vitals.opens(now, route.Repeatable()), decider.closed(region, now))
 			if wait > 0 || now < seat.shunned || !seat.opens(now, route.Repeatable()) {
+				one := prospect{row: row, place: place, seat: seat, isTry: seat.isUnreached}
+				if one.isTry {
+					unreached = append(unreached, one)
+					continue
+				}
 				soon(max(wait, seat.shunned-now, firstShun/2))
-				shunned = append(shunned, prospect{row: row, place: place, seat: seat})
+				shunned = append(shunned, one)
 				continue
 			}
 			all = append(all, prospect{row: row, place: place, seat: seat})
@@ -277,6 +295,9 @@
 		// Better one in doubt than none at all.
 		all = shunned
 	}
+	if len(all) == 0 {
+		all = decider.tries(unreached, now)
+	}
 	claim(routed, all, home, func(place *standing.Place) (may, near bool) {
 		// A short prompt is not worth a far way: each region has an owner of its own.
 		return readers[place.ID] == isLong, isLong || place.Region == decider.Self.Region || !route.Within(decider.Self.Region)
@@ -322,6 +343,25 @@
 	return best, next
 }
 
+// tries are those of the replicas out of reach that may be tried now, as there are no others:
+// one of each region a while. Whatever else comes meanwhile would only find out the same.
+func (decider *Decider) tries(unreached []prospect, now time.Duration) (due []prospect) {
+	for _, one := range unreached {
+		gap := nearTry
+		if one.place.Region != decider.Self.Region {
+			gap = wayTry
+		}
+		if tried, has := decider.tried[one.place.Region]; !has || now-tried >= gap {
+			due = append(due, one)
+		}
+	}
+	return due
+}
+
+// nearTry is how long requests to replicas of this daemon's region are apart none of which
+// can be reached.
+const nearTry = 100 * time.Millisecond
+
 // heirShare is which part of the price of reading shared parts again their heir pays.
 const heirShare = 0.5
 
@@ -624,6 +664,9 @@
 		Foreseen: best.foreseen, Allowance: decider.reading(best.unread), unread: best.unread, routed: routed, sent: now, seat: seat, isCold: best.place.Warm < 1,
 		Vouched: seat.vouched, Doubted: decider.isDoubted(best.place.Region),
 	}
+	if best.isTry {
+		decider.tried[best.place.Region] = now
+	}
 	if selection.Doubted {
 		decider.ways[best.place.Region].tried = now
 	}
@@ -650,7 +693,7 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
-	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	seat.vouched, seat.strikes, seat.shunned, seat.isUnreached = now, 0, 0, false
 	decider.alive(seat)
 	if seat.waits > 0 {
 		seat.silent = now
@@ -682,6 +725,7 @@
 	}
 	seat.flowing++
 	selection.isFlowing = true
+	delete(decider.lacks, selection.call.Kind)
 	took := now - selection.sent
 	if selection.unread < learnTokens && !selection.Spill {
 		decider.base = max(0, decider.base+(min(took, 2*decider.base+firstBase)-decider.base)/32)
@@ -730,7 +774,7 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
-	seat.vouched, seat.strikes, seat.shunned = now, 0, 0
+	seat.vouched, seat.strikes, seat.shunned, seat.isUnreached = now, 0, 0, false
 	decider.alive(seat)
 }
 
@@ -778,6 +822,7 @@
 		decider.judgeVitals(selection, bad, now)
 	}
 	if mishap != nil {
+		selection.seat.isUnreached = selection.seat.isUnreached || mishap.Code == "replica_unreached"
 		switch mishap.Code {
 		case "replica_unreached", "replica_cut", "cut":
 			decider.wary = now + warySpan
--- a/decide/vitals_test.go
+++ b/decide/vitals_test.go
@@ -22,7 +22,9 @@
 	fails func(replica string) *verdict.Mishap
 	// hears, if set, is the same by the whole selection.
 	hears func(selection *decide.Selection) *verdict.Mishap
-	view  *permit.View
+	// declines, if set, gets what no replica was given for.
+	declines func(mishap *verdict.Mishap)
+	view     *permit.View
 	// sent are when requests went to which replica; failed and all count since the last look.
 	sent        map[string][]time.Duration
 	failed, all int
@@ -57,6 +59,10 @@
 		return
 	}
 	selection, mishap := clinic.decider.Route(routed, nil)
+	if mishap != nil && clinic.declines != nil {
+		clinic.declines(mishap)
+		return
+	}
 	if mishap != nil {
 		clinic.t.Errorf("%s at %v", mishap.Code, node.Now())
 		return
--- a/decide/way_test.go
+++ b/decide/way_test.go
@@ -45,3 +45,41 @@
 		t.Error("it is not used though it is back")
 	}
 }
+
+// TestNobodyInReach: while no connection opens to any replica, one request a while tries one, and
+// the others are declined at once and told to come back the later the longer that lasts; all
+// are used again soon after the first connection opens.
+func TestNobodyInReach(t *testing.T) {
+	for _, path := range []string{resumedPath, oncePath} {
+		clinic := newClinic(t, 12, path)
+		isGone, tries, declined, last := false, 0, 0, time.Duration(0)
+		clinic.hears = func(*decide.Selection) *verdict.Mishap {
+			if !isGone {
+				return nil
+			}
+			tries++
+			return &verdict.Mishap{Verdict: verdict.NotRun, Code: "replica_unreached", Status: 503}
+		}
+		clinic.declines = func(mishap *verdict.Mishap) {
+			declined++
+			if mishap.Verdict != verdict.NotRun || mishap.ComeBack < min(last, 2*time.Second) {
+				t.Errorf("%s: %s, come back in %v behind %v", path, mishap.Code, mishap.ComeBack, last)
+			}
+			last = mishap.ComeBack
+		}
+		clinic.Run(2 * time.Second)
+		isGone = true
+		clinic.Run(3 * time.Second)
+		// 300 requests came; each replica is found out once, and then all are tried in turns.
+		if tries > 12+3*30 || declined < 180 || last < 2*time.Second {
+			t.Errorf("%s: %d tries, %d declined, come back in %v at the last", path, tries, declined, last)
+		}
+		isGone = false
+		clinic.Run(200 * time.Millisecond)
+		declined = 0
+		clinic.Run(time.Second)
+		if declined > 0 {
+			t.Errorf("%s: %d declined though all are back", path, declined)
+		}
+	}
+}
