First grants bring members packed; reads and repairs name what is held by marks

Cause: a member's entry of 130 bytes went as it is to each of 294 daemons that begin at once; each key of a query named its ballot, with a proposer's name of 44 bytes; a repair fetched all copies of a range where one differed. Ruled out: letting a daemon ask who is near before its first permit, which costs permits half a second after a power cut (TestPowerCutStandingsAreKeptSoon was red with it) and saves nothing more.

--- a/permit/edition.go
+++ b/permit/edition.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"swifttiller/settings"
+	"swifttiller/wire"
 )
 
 // Edition is a configuration on its way to a data daemon: a delta against the one that
@@ -96,8 +97,8 @@
 		index = indexOf(base)
 	}
 	return &Edition{
-		Index: pack(indexOf(chunks), index),
-		Texts: pack([]byte(texts.String()), gone(base, func(digest settings.Digest) bool { return next[digest] != nil })),
+		Index: wire.Pack(indexOf(chunks), index),
+		Texts: wire.Pack([]byte(texts.String()), gone(base, func(digest settings.Digest) bool { return next[digest] != nil })),
 	}
 }
 
@@ -108,7 +109,7 @@
 	if base != nil {
 		index = indexOf(base)
 	}
-	text, err := unpack(edition.Index, index)
+	text, err := wire.Unpack(edition.Index, index)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +121,7 @@
 	for _, one := range entries {
 		isIn[one.Digest] = true
 	}
-	texts, err := unpack(edition.Texts, gone(base, func(digest settings.Digest) bool { return isIn[digest] }))
+	texts, err := wire.Unpack(edition.Texts, gone(base, func(digest settings.Digest) bool { return isIn[digest] }))
 	if err != nil {
 		return nil, err
 	}
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -204,6 +204,11 @@
 		holder.Declined.Store(&grant.Declined)
 		return false
 	}
+	if err := grant.unroll(); err != nil {
+		reason := err.Error()
+		holder.Declined.Store(&reason)
+		return false
+	}
 	holder.Declined.Store(nil)
 	return holder.take(grant, asked)
 }
--- a/permit/notice_test.go
+++ b/permit/notice_test.go
@@ -8,6 +8,7 @@
 	"swifttiller/session"
 	"swifttiller/sim"
 	"swifttiller/standing"
+	"swifttiller/wire"
 )
 
 // TestNoticesLeaveOut: a life that leaves is in no view from the notice on, one that a
@@ -27,7 +28,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		grant := &Grant{Length: time.Second, Kept: map[string]time.Duration{"r": 0}, Standings: []Told{{Region: "r", Serial: serial, Packed: pack(text, nil)}}}
+		grant := &Grant{Length: time.Second, Kept: map[string]time.Duration{"r": 0}, Standings: []Told{{Region: "r", Serial: serial, Packed: wire.Pack(text, nil)}}}
 		if !holder.take(grant, park.Now()) {
 			t.Fatal("the grant is not taken")
 		}
--- a/permit/office.go
+++ b/permit/office.go
@@ -112,6 +112,10 @@
 	Members   []session.Member
 	Gone      []string
 	Base, Sum uint64
+	// Rolled are all members, packed, in the place of Members; their uptimes are as of Age
+	// ago.
+	Rolled []byte
+	Age    time.Duration
 	// Uptimes are of all members, in the order of their names and in milliseconds, if they
 	// were asked for and Members has not all.
 	Uptimes []int64
--- a/permit/pack.go
+++ b/permit/pack.go
@@ -2,51 +2,15 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"encoding/gob"
 	"encoding/json"
-	"fmt"
-	"io"
 
 	"github.com/tidwall/gjson"
 
 	"swifttiller/register"
+	"swifttiller/wire"
 )
 
-// mostUnpacked bounds what is unpacked, in bytes: the largest document that is read of
-// an operator, twice, and some more.
-const mostUnpacked = 80 << 20
-
-// pack makes text small. What the reader has already, base, may be nil; the more of the
-// text stands in the last 32 KiB of it, the smaller the text gets.
-func pack(text, base []byte) []byte {
-	var out bytes.Buffer
-	level := flate.DefaultCompression
-	if base == nil {
-		level = flate.BestSpeed // which goes by no base
-	}
-	writer, err := flate.NewWriterDict(&out, level, base)
-	if err != nil {
-		panic(err) // the level is a known one
-	}
-	_, _ = writer.Write(text) // a buffer takes all
-	_ = writer.Close()
-	return out.Bytes()
-}
-
-// unpack gives the text back, from the same base.
-func unpack(packed, base []byte) ([]byte, error) {
-	reader := flate.NewReaderDict(bytes.NewReader(packed), base)
-	text, err := io.ReadAll(io.LimitReader(reader, mostUnpacked+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("what came packed can't be read: %w", err)
-	case len(text) > mostUnpacked:
-		return nil, fmt.Errorf("what came packed has more than %d bytes", mostUnpacked)
-	}
-	return text, nil
-}
-
 // Pack gives the configuration as the register holds it.
 func (config Config) Pack() ([]byte, error) {
 	// JSON would be read through several times only to find its end.
@@ -54,12 +18,12 @@
 	if err := gob.NewEncoder(&text).Encode(config); err != nil {
 		return nil, err
 	}
-	return pack(text.Bytes(), nil), nil
+	return wire.Pack(text.Bytes(), nil), nil
 }
 
 // Unpack reads a packed configuration. The error tells what is wrong with it.
 func Unpack(packed []byte) (config Config, err error) {
-	text, err := unpack(packed, nil)
+	text, err := wire.Unpack(packed, nil)
 	if err != nil {
 		return config, err
 	}
--- a/permit/told.go
+++ b/permit/told.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"swifttiller/register"
 	"swifttiller/session"
 	"swifttiller/standing"
 	"swifttiller/tenant"
+	"swifttiller/wire"
 )
 
 // Told is a region's standing on its way to a data daemon: its text packed against the
@@ -23,13 +25,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return pack(text, nil), nil
+	return wire.Pack(text, nil), nil
 }
 
 // OpenStanding reads a standing from its register, which must have been written, and
 // gives its text, too.
 func OpenStanding(value register.Value) (one standing.Standing, text []byte, err error) {
-	if text, err = unpack(value.Data, nil); err != nil {
+	if text, err = wire.Unpack(value.Data, nil); err != nil {
 		return one, nil, err
 	}
 	if err = json.Unmarshal(text, &one); err != nil {
@@ -45,12 +47,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return pack(text, nil), nil
+	return wire.Pack(text, nil), nil
 }
 
 // OpenPlaced reads tenants' placements; false where there are none.
 func OpenPlaced(data []byte) (book tenant.Book, isRead bool) {
-	text, err := unpack(data, nil)
+	text, err := wire.Unpack(data, nil)
 	return book, len(data) > 0 && err == nil && json.Unmarshal(text, &book) == nil
 }
 
@@ -101,7 +103,7 @@
 		}
 	}
 	if have.packed[out.Base] == nil {
-		have.packed[out.Base] = pack(have.texts[len(have.texts)-1], base)
+		have.packed[out.Base] = wire.Pack(have.texts[len(have.texts)-1], base)
 	}
 	out.Packed = have.packed[out.Base]
 	return out, true
@@ -115,7 +117,7 @@
 			return one, false
 		}
 	}
-	fresh, err := unpack(told.Packed, base.text)
+	fresh, err := wire.Unpack(told.Packed, base.text)
 	if err != nil || json.Unmarshal(fresh, &one) != nil || one.Region != told.Region {
 		return one, false
 	}
@@ -134,11 +136,39 @@
 const rolled = 16
 
 // rolls are the lists of members that were told last, newest last.
-type rolls []roll
+type rolls []*roll
 
+// roll is one of them.
+//
+// Invariant: packed has all members with their uptimes as of at.
 type roll struct {
-	sum   uint64
-	marks map[string]session.Member // by name, with nothing that the sum is not over
+	sum    uint64
+	marks  map[string]session.Member // by name, with nothing that the sum is not over
+	packed []byte
+	at     time.Duration
+}
+
+// whole gives all members, packed once for many who ask, and how long ago that was. A
+// daemon that begins anew gets them, and where all begin at once each of many gets many.
+func (roll *roll) whole(members []session.Member, now time.Duration) ([]byte, time.Duration) {
+	if roll.packed == nil || now-roll.at > stale {
+		roll.packed, roll.at = wire.PackValue(members), now
+	}
+	return roll.packed, now - roll.at
+}
+
+// unroll reads members that came packed, and lets them be up for as long as they were kept so.
+func (grant *Grant) unroll() error {
+	if len(grant.Rolled) == 0 {
+		return nil
+	}
+	if err := wire.UnpackValue(grant.Rolled, &grant.Members); err != nil {
+		return err
+	}
+	for at := range grant.Members {
+		grant.Members[at].Uptime += grant.Age
+	}
+	return nil
 }
 
 // marked is the member with nothing that a sum of members is not over.
@@ -157,26 +187,27 @@
 	grant.Sum = session.Sum(members)
 	office.guard.Lock()
 	defer office.guard.Unlock()
-	var before *roll
-	isKept := false
-	for at := range office.rolls {
-		if one := &office.rolls[at]; one.sum == has {
+	var before, present *roll
+	for _, one := range office.rolls {
+		if one.sum == has {
 			before = one
 		}
-		isKept = isKept || office.rolls[at].sum == grant.Sum
+		if one.sum == grant.Sum {
+			present = one
+		}
 	}
-	if !isKept {
-		fresh := roll{grant.Sum, make(map[string]session.Member, len(members))}
+	if present == nil {
+		present = &roll{sum: grant.Sum, marks: make(map[string]session.Member, len(members))}
 		for _, one := range members {
-			fresh.marks[one.Name] = marked(one)
+			present.marks[one.Name] = marked(one)
 		}
-		office.rolls = append(office.rolls, fresh)
+		office.rolls = append(office.rolls, present)
 		office.rolls = office.rolls[max(0, len(office.rolls)-rolled):]
 	}
 	switch {
 	case has == grant.Sum:
 	case before == nil:
-		grant.Members = members
+		grant.Rolled, grant.Age = present.whole(members, office.World.Now())
 	default:
 		grant.Base = has
 		now := make(map[string]bool, len(members))
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
@@ -39,6 +40,23 @@
 	return ballot.Proposer < other.Proposer
 }
 
+// Mark stands for a ballot where an acceptor is told which values the asker has: a proposer's
+// name alone is longer. It is taken of SHA-256, so no two ballots share one but by a chance of
+// one in 2^64.
+type Mark uint64
+
+// mark gives the ballot's mark; zero where nothing was accepted.
+func (ballot Ballot) mark() Mark {
+	if ballot == (Ballot{}) {
+		return 0
+	}
+	text := make([]byte, 0, 16+len(ballot.Proposer))
+	text = binary.BigEndian.AppendUint64(text, ballot.Epoch)
+	text = binary.BigEndian.AppendUint64(text, ballot.Round)
+	sum := sha256.Sum256(append(text, ballot.Proposer...))
+	return Mark(binary.BigEndian.Uint64(sum[:]))
+}
+
 // Value is what a register holds.
 //
 // Invariant: Serial rises by one with every decided change. Trail names the
@@ -442,9 +460,9 @@
 type Look struct {
 	Epoch uint64
 	Keys  []string
-	// Have are, in the order of the keys, the ballots whose values the asker holds
-	// already; none for nothing.
-	Have   []Ballot
+	// Marks are, in the order of the keys, those of the ballots whose values the asker
+	// holds already; zero for nothing.
+	Marks  []Mark
 	Prefix string
 	Bare   bool // leave the values and promises out
 	// Brief asks for the sums of long values in their place.
@@ -484,7 +502,7 @@
 			show(key)
 			cell := seen.Cells[key]
 			switch {
-			case index < len(look.Have) && cell.Accepted == look.Have[index]:
+			case index < len(look.Marks) && cell.Accepted.mark() == look.Marks[index]:
 				delete(seen.Cells, key)
 			case look.Brief && cell.Value.isLong():
 				if seen.Long == nil {
@@ -659,10 +677,18 @@
 	return nil
 }
 
-// Range asks for the accepted cells of one range.
+// Range asks for the accepted cells of one range. Have are the marks of the asker's own
+// copies, by key; those that are the same are left out of the answer.
 type Range struct {
 	Epoch  uint64
 	Bucket int
+	Have   map[Mark]bool
+}
+
+// copied marks a copy of a key that was accepted under the ballot.
+func copied(key string, accepted Ballot) Mark {
+	accepted.Proposer += "/" + key
+	return accepted.mark()
 }
 
 // Fetch gives the cells of a range.
@@ -673,7 +699,7 @@
 		}
 		seen.Cells = map[string]Cell{}
 		for key, cell := range state.Cells {
-			if Bucket(key) == ask.Bucket {
+			if Bucket(key) == ask.Bucket && !ask.Have[copied(key, cell.Accepted)] {
 				seen.Cells[key] = cell
 			}
 		}
--- a/register/core.go
+++ b/register/core.go
@@ -208,11 +208,20 @@
 			if theirs.Sums[bucket] == mine.Sums[bucket] {
 				continue
 			}
-			var cells Seen
-			if keeper.Net.Call(keeper.address(member), "Register.Fetch", Range{Epoch: core.Epoch, Bucket: bucket}, &cells, keeper.Patience/4) != nil || cells.Kind != Voted {
+			ask := Range{Epoch: core.Epoch, Bucket: bucket}
+			var cells, local Seen
+			if err := acceptor.Fetch(ask, &local); err != nil {
+				return mended, err
+			}
+			// Of many copies most often one differs, which is just being written.
+			ask.Have = make(map[Mark]bool, len(local.Cells))
+			for key, cell := range local.Cells {
+				ask.Have[copied(key, cell.Accepted)] = true
+			}
+			if keeper.Net.Call(keeper.address(member), "Register.Fetch", ask, &cells, keeper.Patience/4) != nil || cells.Kind != Voted || len(cells.Cells) == 0 {
 				continue
 			}
-			var local Seen
+			local = Seen{}
 			if err := acceptor.Fetch(Range{Epoch: core.Epoch, Bucket: bucket}, &local); err != nil {
 				return mended, err
 			}
--- a/register/read.go
+++ b/register/read.go
@@ -431,11 +431,11 @@
 // majority, under that ballot or a higher one. Long values come from this daemon's own
 // acceptor, or from one of those that hold them.
 func (keeper *Keeper) inquire(core Core, keys []string) (found, *Vote) {
-	look := Look{Epoch: core.Epoch, Keys: keys, Have: make([]Ballot, len(keys))}
+	look := Look{Epoch: core.Epoch, Keys: keys, Marks: make([]Mark, len(keys))}
 	known := make([]Cell, len(keys))
 	for index, key := range keys {
 		known[index], _ = keeper.have(key)
-		look.Have[index] = known[index].Accepted
+		look.Marks[index] = known[index].Accepted.mark()
 	}
 	order, stay := keeper.nearest(core)
 	type letter struct {
