Contents of many sessions travel packed

Ruled out: telling them less often, as the duty's holder judges slow replicas by them. Most of a content are names that the others of the call have, too, so from four contents on a call has them packed.

--- a/session/share.go
+++ b/session/share.go
@@ -12,6 +12,7 @@
 	"swifttiller/loop"
 	"swifttiller/register"
 	"swifttiller/standing"
+	"swifttiller/wire"
 )
 
 // Shared is what one control daemon tells another, and the other's answer.
@@ -23,6 +24,9 @@
 	From     string // the incarnation of who tells
 	Marks    []Mark
 	Sessions []Content
+	// Packed are Sessions in their place, where they are many: most of what one daemon's
+	// has, such as names of replicas, others' have, too.
+	Packed []byte
 	// Epoch is the teller's core's. Core is left out where the other knows it.
 	Epoch uint64
 	Core  register.Core
@@ -31,6 +35,26 @@
 	Lacks []uint64
 }
 
+// packedFrom is from how many contents on they are packed: fewer are short.
+const packedFrom = 4
+
+// pack packs the contents, if they are many.
+func (shared *Shared) pack() {
+	if len(shared.Sessions) >= packedFrom {
+		shared.Packed, shared.Sessions = wire.PackValue(shared.Sessions), nil
+	}
+}
+
+// unpack gives contents that came packed back.
+func (shared *Shared) unpack() error {
+	if len(shared.Packed) == 0 {
+		return nil
+	}
+	packed := shared.Packed
+	shared.Packed = nil
+	return wire.UnpackValue(packed, &shared.Sessions)
+}
+
 // Mark says that a session stands: its content under the serial is the teller's newest,
 // and it was heard Age ago. Times are in milliseconds, rounded to the careful side.
 type Mark struct {
@@ -182,6 +206,9 @@
 
 // Share takes a colleague's sessions, and says what it did not understand.
 func (table *Table) Share(shared Shared, back *Shared) error {
+	if err := shared.unpack(); err != nil {
+		return err
+	}
 	table.Keeper.Learn(shared.Core)
 	lacks, sessions := table.understand(shared)
 	table.take(shared.From, sessions)
@@ -360,6 +387,7 @@
 			// One that lacks something, as it began anew, is told at once.
 			for try := 0; try < 2; try++ {
 				shared, next := table.give(addresses[index])
+				shared.pack()
 				back := new(Shared)
 				if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
 					break
--- a/session/share_test.go
+++ b/session/share_test.go
@@ -211,3 +211,31 @@
 		So(isLive, ShouldBeTrue)
 	})
 }
+
+func TestReportsOfManyArePacked(t *testing.T) {
+	Convey("what many daemons tell of the same replicas costs little more than the counts", t, func() {
+		circle := newCircle(1)
+		defer circle.Close()
+		beat := 0
+		for index := 0; index < 40; index++ {
+			circle.beats(fmt.Sprint("d", index), "x", func() standing.Report {
+				beat++
+				var out standing.Report
+				for replica := range 20 {
+					out.Near = append(out.Near, standing.Outcome{Replica: fmt.Sprintf("i-%010x", 7919*(replica+index%9)), Model: "daba27a", Version: "v1", Kind: "r-abkukgz", Boot: fmt.Sprintf("%016x", 104729*(replica+index%9)), OK: 1 + (beat+replica)%3, Mishaps: 1 + beat%2})
+				}
+				return out
+			})
+		}
+		circle.Run(3 * time.Second)
+		before := circle.Bytes["Session.Share"]
+		circle.Run(10 * time.Second)
+		bytes := (circle.Bytes["Session.Share"] - before) / 10
+		t.Logf("%d bytes a second", bytes)
+		// Once a second to two colleagues: as they are, 40 contents have some 50,000 bytes.
+		So(bytes, ShouldBeLessThan, 40e3)
+		one, isLive := circle.tables["y"].Find("d7")
+		So(isLive, ShouldBeTrue)
+		So(len(one.Report.Near), ShouldEqual, 20)
+	})
+}
