Registers' names travel by their ends, lists as names, a core's change without what is held

Ruled out: adding all newcomers to the core at once, as a majority of the next core must hold everything without a newcomer's copy. The carrier's own acceptor is sealed first, with an eighth of the patience; the others give up what that lacks, and an acceptor that was sealed gets what it was not seen to hold.

--- a/fleet/bytes_test.go
+++ b/fleet/bytes_test.go
@@ -52,7 +52,8 @@
 }
 
 // TestStartOfAllBytes: where all daemons begin at once, and again after a power cut, first
-// grants are short, repairs bring what differs alone, and reads name what is held by marks.
+// grants are short, repairs bring what differs alone, and reads name what is held by marks; a
+// core that changes carries little to who holds it already.
 func TestStartOfAllBytes(t *testing.T) {
 	skipLong(t)
 	plan := grown(88, 90, 6)
@@ -78,5 +79,14 @@
 	}
 	calm := regional(park)
 	park.Run(10 * time.Second)
-	within(t, "ten seconds of calm", calm, map[string]int{"Register.Query": 280e3})
+	within(t, "ten seconds of calm", calm, map[string]int{"Register.Query": 240e3})
+	moved := regional(park)
+	park.Crash("c6")
+	park.Run(8 * time.Second)
+	park.Place("fresh", "west-1")
+	park.StartControl("fresh")
+	if !park.Until(catchUp, func() bool { return park.Votes("fresh") }) {
+		t.Error("the newcomer has no vote")
+	}
+	within(t, "a core machine that is replaced", moved, map[string]int{"Register.Seal": 25e3, "Register.Install": 30e3})
 }
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -10,7 +10,9 @@
 	"encoding/binary"
 	"encoding/gob"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -374,8 +376,9 @@
 }
 
 // Vote answers an Ask. A given vote names no core, as it is the asked one; the cell
-// has its value only in an answer to Prepare, and there only if the asker does not
-// hold it: IsHeld tells that it does, under another ballot.
+// has what was promised only where that outvotes the ask, and what was accepted only in an
+// answer to Prepare, its value only if the asker does not hold it: IsHeld tells that it does,
+// under another ballot.
 type Vote struct {
 	ID     string
 	Kind   int
@@ -409,11 +412,11 @@
 			return nil
 		}
 		cell := state.Cells[ask.Key]
-		vote.Cell = Cell{Promised: cell.Promised, Accepted: cell.Accepted}
 		if !cell.Promised.Less(ask.Ballot) {
-			vote.Kind = Outvoted
+			vote.Kind, vote.Cell.Promised = Outvoted, cell.Promised
 			return nil
 		}
+		vote.Cell.Accepted = cell.Accepted
 		switch {
 		case cell.Accepted == ask.Have:
 		case ask.Sum != Sum{} && cell.Value.isLong() && acceptor.sum(ask.Key, cell) == ask.Sum:
@@ -436,9 +439,8 @@
 			return nil
 		}
 		cell := state.Cells[ask.Key]
-		vote.Cell = Cell{Promised: cell.Promised, Accepted: cell.Accepted}
 		if ask.Ballot.Less(cell.Promised) {
-			vote.Kind = Outvoted
+			vote.Kind, vote.Cell.Promised = Outvoted, cell.Promised
 			return nil
 		}
 		before := cell
@@ -456,25 +458,68 @@
 	return nil
 }
 
-// Look asks for cells by key and by prefix, without a promise.
+// Keys are names of registers. On the wire each is told by how much of the one before it
+// begins with, and by the rest, as most differ in their ends alone.
+type Keys []string
+
+// GobEncode gives them as they travel.
+func (keys Keys) GobEncode() ([]byte, error) {
+	var out []byte
+	before := ""
+	for _, key := range keys {
+		same := 0
+		for same < min(len(key), len(before)) && key[same] == before[same] {
+			same++
+		}
+		out = binary.AppendUvarint(out, uint64(same))
+		out = binary.AppendUvarint(out, uint64(len(key)-same))
+		out = append(out, key[same:]...)
+		before = key
+	}
+	return out, nil
+}
+
+var errKeys = errors.New("register: keys that came can't be read")
+
+// GobDecode reads them.
+func (keys *Keys) GobDecode(data []byte) error {
+	*keys = nil
+	before := ""
+	for len(data) > 0 {
+		same, read := binary.Uvarint(data)
+		if read <= 0 || same > uint64(len(before)) {
+			return errKeys
+		}
+		data = data[read:]
+		rest, read := binary.Uvarint(data)
+		if read <= 0 || rest > uint64(len(data)-read) {
+			return errKeys
+		}
+		before = before[:same] + string(data[read:read+int(rest)])
+		*keys, data = append(*keys, before), data[read+int(rest):]
+	}
+	return nil
+}
+
+// Look asks for cells by key, without a promise, and for the names under a prefix.
 type Look struct {
 	Epoch uint64
-	Keys  []string
+	Keys  Keys
 	// Marks are, in the order of the keys, those of the ballots whose values the asker
 	// holds already; zero for nothing.
 	Marks  []Mark
 	Prefix string
-	Bare   bool // leave the values and promises out
 	// Brief asks for the sums of long values in their place.
 	Brief bool
 }
 
 // Seen answers a Look. A key that was asked for and is not in it is held as the asker
 // has it. A key in Long has the sum there in place of its value, of which the cell has
-// the serial alone.
+// the serial alone. Names are those under the prefix that were ever written.
 type Seen struct {
 	Vote
 	Cells map[string]Cell
+	Names Keys
 	Long  map[string]Sum
 }
 
@@ -493,9 +538,6 @@
 			if line := acceptor.pending[key]; line != nil && isShown {
 				cell = line.lasting
 			}
-			if look.Bare {
-				cell.Promised, cell.Value = Ballot{}, Value{Serial: cell.Value.Serial}
-			}
 			seen.Cells[key] = cell
 		}
 		for index, key := range look.Keys {
@@ -515,9 +557,10 @@
 		if look.Prefix != "" {
 			for key, cell := range state.Cells {
 				if strings.HasPrefix(key, look.Prefix) && cell.Value.Serial > 0 {
-					show(key)
+					seen.Names = append(seen.Names, key)
 				}
 			}
+			sort.Strings(seen.Names)
 		}
 		return nil
 	}
@@ -559,16 +602,20 @@
 	return nil
 }
 
-// SealAsk closes an epoch at an acceptor in favour of the next core.
+// SealAsk closes an epoch at an acceptor in favour of the next core. Have are the marks of
+// the copies that the asker has already.
 type SealAsk struct {
 	Epoch uint64
 	Next  Core
+	Have  map[Mark]bool
 }
 
-// Sealed answers with everything that the acceptor holds.
+// Sealed answers with everything that the acceptor holds and the asker does not have. Absent
+// are the marks of what it has and the acceptor does not hold.
 type Sealed struct {
 	Vote
-	Cells map[string]Cell
+	Cells  map[string]Cell
+	Absent map[Mark]bool
 }
 
 // Seal declines ballots of the epoch for good and gives up what is held. An
@@ -589,9 +636,13 @@
 			one = &record{Whole: state}
 		}
 		vote.Sealed, vote.Next = state.Sealed, state.Next
-		sealed.Cells = map[string]Cell{}
+		sealed.Cells, sealed.Absent = map[string]Cell{}, maps.Clone(ask.Have)
 		for key, cell := range state.Cells {
-			sealed.Cells[key] = cell
+			if mark := copied(key, cell.Accepted); ask.Have[mark] {
+				delete(sealed.Absent, mark)
+			} else {
+				sealed.Cells[key] = cell
+			}
 		}
 		return one
 	})
@@ -601,7 +652,8 @@
 	return nil
 }
 
-// Move brings an acceptor into a core with all that was decided before it.
+// Move brings an acceptor into a core with all that was decided before it, of which what
+// it was seen to hold when it was sealed is left out.
 type Move struct {
 	Core  Core
 	Cells map[string]Cell
--- a/register/core.go
+++ b/register/core.go
@@ -68,26 +68,20 @@
 		keeper.Learn(next)
 		return nil
 	}
-	merged := map[string]Cell{}
-	sealed := 0
-	ask(keeper, old, "Seal", SealAsk{Epoch: old.Epoch, Next: next}, keeper.Patience/2, func(answer *Sealed, err error) bool {
-		if err != nil || answer.Kind != Voted {
-			return false
-		}
-		sealed++
-		for key, cell := range answer.Cells {
-			if mine, ok := merged[key]; !ok || mine.Accepted.Less(cell.Accepted) {
-				merged[key] = cell
-			}
-		}
-		return sealed == old.Majority()
-	})
-	if sealed < old.Majority() {
-		return fmt.Errorf("core %d can't be sealed: %w", old.Epoch, ErrNoMajority)
+	given, err := keeper.seal(old, next)
+	if err != nil {
+		return err
 	}
 	installed := 0
-	ask(keeper, next, "Install", Move{Core: next, Cells: merged}, keeper.Patience/2, func(vote *Vote, err error) bool {
-		if err == nil && vote.Kind == Voted {
+	loop.Gather(keeper.World, len(next.Members), keeper.Patience/2, func(index int) *Vote {
+		member, vote := next.Members[index], new(Vote)
+		move := Move{Core: next, Cells: given.lacking(member.ID)}
+		if keeper.Net.Call(keeper.address(member), "Register.Install", move, vote, keeper.Patience/2) != nil || stranger(vote, member) {
+			vote.Kind = Sick
+		}
+		return vote
+	}, func(_ int, vote *Vote) bool {
+		if vote.Kind == Voted {
 			installed++
 		}
 		return installed == len(next.Members)
@@ -99,6 +93,74 @@
 	return nil
 }
 
+// given is what sealed acceptors gave up.
+//
+// Invariant: a sealed acceptor's copies only ever give way to newer ones, so what it was seen
+// to hold need not be brought to it.
+type given struct {
+	merged map[string]Cell
+	holds  map[string]map[string]Ballot // by acceptor and key: what a sealed one holds
+}
+
+// take takes a sealed acceptor's answer, which was told by their marks what is had already.
+func (given *given) take(answer *Sealed, had map[Mark]string, accepted map[string]Ballot) {
+	held := map[string]Ballot{}
+	for mark, key := range had {
+		if !answer.Absent[mark] {
+			held[key] = accepted[key]
+		}
+	}
+	for key, cell := range answer.Cells {
+		held[key] = cell.Accepted
+		if mine, known := given.merged[key]; !known || mine.Accepted.Less(cell.Accepted) {
+			given.merged[key] = cell
+		}
+	}
+	given.holds[answer.ID] = held
+}
+
+// lacking are the cells that the acceptor was not seen to hold.
+func (given *given) lacking(id string) map[string]Cell {
+	out := map[string]Cell{}
+	for key, cell := range given.merged {
+		if held, known := given.holds[id][key]; !known || held.Less(cell.Accepted) {
+			out[key] = cell
+		}
+	}
+	return out
+}
+
+// seal seals a majority of the old core. This daemon's own acceptor comes first, if it is of
+// that core and its disk does not keep it waiting: the others then give up what it lacks.
+func (keeper *Keeper) seal(old, next Core) (given, error) {
+	out := given{merged: map[string]Cell{}, holds: map[string]map[string]Ballot{}}
+	order := SealAsk{Epoch: old.Epoch, Next: next, Have: map[Mark]bool{}}
+	had, accepted := map[Mark]string{}, map[string]Ballot{}
+	for _, member := range old.Members {
+		own := new(Sealed)
+		if member.ID != keeper.Own || keeper.Net.Call(keeper.address(member), "Register.Seal", order, own, keeper.Patience/8) != nil || stranger(own, member) || own.Kind != Voted {
+			continue
+		}
+		out.take(own, nil, nil)
+		for key, cell := range own.Cells {
+			mark := copied(key, cell.Accepted)
+			order.Have[mark], had[mark], accepted[key] = true, key, cell.Accepted
+		}
+	}
+	if len(out.holds) < old.Majority() {
+		ask(keeper, old, "Seal", order, keeper.Patience/2, func(answer *Sealed, err error) bool {
+			if err == nil && answer.Kind == Voted {
+				out.take(answer, had, accepted)
+			}
+			return len(out.holds) >= old.Majority()
+		})
+	}
+	if len(out.holds) < old.Majority() {
+		return out, fmt.Errorf("core %d can't be sealed: %w", old.Epoch, ErrNoMajority)
+	}
+	return out, nil
+}
+
 // carried tells whether a majority of the core has taken over already.
 func (keeper *Keeper) carried(next Core) bool {
 	there := 0
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -352,7 +352,7 @@
 		}
 		heard, found := 0, map[string]bool{}
 		var astray *Vote
-		ask(keeper, core, "Query", Look{Epoch: core.Epoch, Prefix: prefix, Bare: true}, keeper.Patience/4, func(seen *Seen, err error) bool {
+		ask(keeper, core, "Query", Look{Epoch: core.Epoch, Prefix: prefix}, keeper.Patience/4, func(seen *Seen, err error) bool {
 			if err == nil && seen.Kind == Elsewhere {
 				astray = &seen.Vote
 			}
@@ -360,7 +360,7 @@
 				return false
 			}
 			heard++
-			for key := range seen.Cells {
+			for _, key := range seen.Names {
 				found[key] = true
 			}
 			return heard == core.Majority()
--- a/register/read_test.go
+++ b/register/read_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -292,3 +293,27 @@
 		So(string(value.Data), ShouldEqual, string(held))
 	})
 }
+
+func TestKeysTravelByTheirEnds(t *testing.T) {
+	keys := register.Keys{"config", "holder/counter-some-hall-1", "holder/counter-some-hall-12", "holder/counter-some-hall-2", "", "standing/some", "standing/some"}
+	text, err := keys.GobEncode()
+	if err != nil || len(text) > 70 {
+		t.Errorf("%d bytes, %v", len(text), err)
+	}
+	var back register.Keys
+	if err := back.GobDecode(text); err != nil || !slices.Equal(back, keys) {
+		t.Errorf("%q, %v", back, err)
+	}
+	// Whatever is cut or spoiled is told, and nothing ends the process.
+	for at := range text {
+		_ = back.GobDecode(text[:at])
+		for _, one := range []byte{0, 9, 127, 255} {
+			spoiled := slices.Clone(text)
+			spoiled[at] = one
+			_ = back.GobDecode(spoiled)
+		}
+	}
+	if back.GobDecode([]byte{1, 1, 'a'}) == nil || back.GobDecode([]byte{0, 9, 'a'}) == nil {
+		t.Error("what can't be read is taken")
+	}
+}
