--- a/fleet/bytes_test.go
+++ b/fleet/bytes_test.go
@@ -79,7 +79,7 @@
 	}
 	calm := regional(park)
 	park.Run(10 * time.Second)
-	within(t, "ten seconds of calm", calm, map[string]int{"Register.Query": 240e3})
+	within(t, "ten seconds of calm", calm, map[string]int{"Register.Query": 240e3, "Session.Share": 150e3})
 	moved := regional(park)
 	park.Crash("c6")
 	park.Run(8 * time.Second)
--- a/session/share.go
+++ b/session/share.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"encoding/binary"
+	"errors"
 	"hash/fnv"
 	"maps"
 	"reflect"
@@ -22,7 +24,7 @@
 // is not known to have.
 type Shared struct {
 	From     string // the incarnation of who tells
-	Marks    []Mark
+	Marks    Marks
 	Sessions []Content
 	// Packed are Sessions in their place, where they are many: most of what one daemon's
 	// has, such as names of replicas, others' have, too.
@@ -69,6 +71,90 @@
 	Applied []uint64
 }
 
+// Marks are those of a call, in the order of their slots. On the wire each is told by what
+// it differs in from the one before it: most of what control daemons tell each other in calm
+// is marks.
+type Marks []Mark
+
+// What a mark's slot is told with: whether lists follow.
+const (
+	hasKept    = 1
+	hasApplied = 2
+	flagBits   = 2
+)
+
+// GobEncode gives them as they travel.
+func (marks Marks) GobEncode() ([]byte, error) {
+	out := make([]byte, 0, 10*len(marks))
+	list := func(numbers []uint64) {
+		out = binary.AppendUvarint(out, uint64(len(numbers)))
+		for _, number := range numbers {
+			out = binary.AppendUvarint(out, number)
+		}
+	}
+	var before Mark
+	for _, one := range marks {
+		flags := uint64(0)
+		if len(one.Kept) > 0 {
+			flags |= hasKept
+		}
+		if len(one.Applied) > 0 {
+			flags |= hasApplied
+		}
+		out = binary.AppendUvarint(out, (one.Slot-before.Slot)<<flagBits|flags)
+		out = binary.AppendVarint(out, int64(one.Serial-before.Serial))
+		out = binary.AppendUvarint(out, one.Age)
+		out = binary.AppendUvarint(out, one.Permit)
+		if flags&hasKept > 0 {
+			list(one.Kept)
+		}
+		if flags&hasApplied > 0 {
+			list(one.Applied)
+		}
+		before = one
+	}
+	return out, nil
+}
+
+var errMarks = errors.New("session: marks that came can't be read")
+
+// GobDecode reads them.
+func (marks *Marks) GobDecode(data []byte) error {
+	*marks = nil
+	isWhole := true
+	number := func() uint64 {
+		out, read := binary.Uvarint(data)
+		isWhole = isWhole && read > 0
+		data = data[max(0, read):]
+		return out
+	}
+	list := func() (out []uint64) {
+		for count := number(); isWhole && count > 0; count-- {
+			out = append(out, number())
+		}
+		return out
+	}
+	var before Mark
+	for len(data) > 0 {
+		head := number()
+		delta, read := binary.Varint(data)
+		isWhole = isWhole && read > 0
+		data = data[max(0, read):]
+		one := Mark{Slot: before.Slot + head>>flagBits, Serial: before.Serial + uint64(delta), Age: number(), Permit: number()}
+		if head&hasKept > 0 {
+			one.Kept = list()
+		}
+		if head&hasApplied > 0 {
+			one.Applied = list()
+		}
+		if !isWhole {
+			return errMarks
+		}
+		*marks, before = append(*marks, one), one
+	}
+	return nil
+}
+
 // Content is a session's content.
 type Content struct {
 	Slot, Serial uint64
--- a/session/share_test.go
+++ b/session/share_test.go
@@ -80,7 +80,7 @@
 		circle.Run(3 * time.Second)
 		before := circle.Bytes["Session.Share"]
 		circle.Run(10 * time.Second)
-		So((circle.Bytes["Session.Share"]-before)/10, ShouldBeLessThan, 20*2*6*20) // 20 bytes a mark
+		So((circle.Bytes["Session.Share"]-before)/10, ShouldBeLessThan, 20*2*6*12) // 12 bytes a mark
 		one, isLive := circle.tables["y"].Find("d7")
 		So(isLive, ShouldBeTrue)
 		So(one.Age, ShouldBeLessThan, 500*time.Millisecond)
@@ -239,3 +239,22 @@
 		So(len(one.Report.Near), ShouldEqual, 20)
 	})
 }
+
+func TestMarksTravel(t *testing.T) {
+	Convey("marks come back as they were, and what is cut or spoiled ends nothing", t, func() {
+		marks := session.Marks{{Serial: 1 << 40, Kept: []uint64{3, 500}}, {Slot: 1, Serial: 7, Age: 300, Permit: 1900}, {Slot: 9, Serial: 1<<64 - 1, Applied: []uint64{1, 2, 3}, Kept: []uint64{0}}}
+		text, err := marks.GobEncode()
+		So(err, ShouldBeNil)
+		var back session.Marks
+		So(back.GobDecode(text), ShouldBeNil)
+		So(back, ShouldResemble, marks)
+		So(back.GobDecode(text[:len(text)-1]), ShouldNotBeNil)
+		for at := range text {
+			for _, one := range []byte{0, 3, 127, 255} {
+				spoiled := append([]byte{}, text...)
+				spoiled[at] = one
+				_ = back.GobDecode(spoiled)
+			}
+		}
+	})
+}
