An office keeps how the list of members changed, in place of the last lists

Cause: it told differences against the last 16 lists. Where 294 daemons begin within two seconds, each ask finds another list, so that the second grant brought all members again; and each list had a copy of every member. Now it keeps each member's sum and when that came to be so, when others left, and when each of the last 1,024 lists was told; a long difference goes packed.

--- a/permit/office.go
+++ b/permit/office.go
@@ -112,8 +112,8 @@
 	Members   []session.Member
 	Gone      []string
 	Base, Sum uint64
-	// Rolled are all members, packed, in the place of Members; their uptimes are as of Age
-	// ago.
+	// Rolled has what Members would, packed, where that is long; the uptimes are as of Age
+	// ago. If Base is zero it has all.
 	Rolled []byte
 	Age    time.Duration
 	// Uptimes are of all members, in the order of their names and in milliseconds, if they
--- a/permit/told.go
+++ b/permit/told.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"swifttiller/register"
@@ -132,29 +133,82 @@
 	text   []byte
 }
 
-// rolled is how many lists of members an office keeps.
-const rolled = 16
-
-// rolls are the lists of members that were told last, newest last.
-type rolls []*roll
+// Of how many lists of members an office knows when each was told, and from how many members
+// on a difference is packed.
+const (
+	rolled     = 1024
+	packedFrom = 8
+)
 
-// roll is one of them.
+// rolls are the lists of members that were told, as a history of their changes: where all
+// daemons begin at once each ask finds another list, and who has an older one is told what
+// has changed since.
 //
-// Invariant: packed has all members with their uptimes as of at.
-type roll struct {
-	sum    uint64
-	marks  map[string]session.Member // by name, with nothing that the sum is not over
+// Invariants: turn rises with each other list; names are those of the last list, with the sum
+// of each and the turn at which it came to be so; gone are those that were in a list before,
+// and when they left. A sum names one list, and turns has when that was told last.
+type rolls struct {
+	turn  uint64
+	last  uint64 // the sum of the last list
+	names map[string]enlisted
+	gone  map[string]uint64
+	turns map[uint64]uint64
+	order []uint64 // of turns' sums
+	// packed is the last list that was told whole, with the uptimes as of at.
 	packed []byte
+	of     uint64
 	at     time.Duration
 }
 
-// whole gives all members, packed once for many who ask, and how long ago that was. A
-// daemon that begins anew gets them, and where all begin at once each of many gets many.
-func (roll *roll) whole(members []session.Member, now time.Duration) ([]byte, time.Duration) {
-	if roll.packed == nil || now-roll.at > stale {
-		roll.packed, roll.at = wire.PackValue(members), now
+// enlisted is a member in the history: the sum of it, and the turn at which that came to be.
+type enlisted struct{ sum, turn uint64 }
+
+// learn takes a list into the history.
+func (rolls *rolls) learn(sum uint64, members []session.Member) {
+	if sum == rolls.last {
+		return
+	}
+	if rolls.names == nil {
+		rolls.names, rolls.gone, rolls.turns = map[string]enlisted{}, map[string]uint64{}, map[uint64]uint64{}
+	}
+	rolls.turn++
+	now := make(map[string]bool, len(members))
+	for at := range members {
+		one := session.Sum(members[at : at+1])
+		now[members[at].Name] = true
+		if rolls.names[members[at].Name].sum != one {
+			rolls.names[members[at].Name] = enlisted{one, rolls.turn}
+		}
+		delete(rolls.gone, members[at].Name)
+	}
+	for name := range rolls.names {
+		if !now[name] {
+			delete(rolls.names, name)
+			rolls.gone[name] = rolls.turn
+		}
+	}
+	if _, known := rolls.turns[sum]; !known {
+		rolls.order = append(rolls.order, sum)
+	}
+	rolls.last, rolls.turns[sum] = sum, rolls.turn
+	if len(rolls.order) > rolled {
+		delete(rolls.turns, rolls.order[0])
+		rolls.order = rolls.order[1:]
+		oldest := rolls.turn
+		for _, turn := range rolls.turns {
+			oldest = min(oldest, turn)
+		}
+		maps.DeleteFunc(rolls.gone, func(_ string, turn uint64) bool { return turn <= oldest })
+	}
+}
+
+// whole gives all members of the last list, packed once for many who ask, and how long ago
+// that was. A daemon that begins anew gets them.
+func (rolls *rolls) whole(members []session.Member, now time.Duration) ([]byte, time.Duration) {
+	if rolls.of != rolls.last || now-rolls.at > stale {
+		rolls.packed, rolls.of, rolls.at = wire.PackValue(members), rolls.last, now
 	}
-	return roll.packed, now - roll.at
+	return rolls.packed, now - rolls.at
 }
 
 // unroll reads members that came packed, and lets them be up for as long as they were kept so.
@@ -171,56 +225,32 @@
 	return nil
 }
 
-// marked is the member with nothing that a sum of members is not over.
-func marked(member session.Member) session.Member {
-	member.Uptime, member.Duties, member.Keeps = 0, nil, nil
-	return member
-}
-
-// same tells whether two members that were marked are the same.
-func same(a, b session.Member) bool {
-	return session.Sum([]session.Member{a}) == session.Sum([]session.Member{b})
-}
-
 // list puts into a grant what the asker lacks of the members.
 func (office *Office) list(members []session.Member, has uint64, grant *Grant) {
 	grant.Sum = session.Sum(members)
 	office.guard.Lock()
 	defer office.guard.Unlock()
-	var before, present *roll
-	for _, one := range office.rolls {
-		if one.sum == has {
-			before = one
-		}
-		if one.sum == grant.Sum {
-			present = one
-		}
-	}
-	if present == nil {
-		present = &roll{sum: grant.Sum, marks: make(map[string]session.Member, len(members))}
-		for _, one := range members {
-			present.marks[one.Name] = marked(one)
-		}
-		office.rolls = append(office.rolls, present)
-		office.rolls = office.rolls[max(0, len(office.rolls)-rolled):]
-	}
+	rolls := &office.rolls
+	rolls.learn(grant.Sum, members)
+	since, isKnown := rolls.turns[has]
 	switch {
 	case has == grant.Sum:
-	case before == nil:
-		grant.Rolled, grant.Age = present.whole(members, office.World.Now())
+	case !isKnown:
+		grant.Rolled, grant.Age = rolls.whole(members, office.World.Now())
 	default:
 		grant.Base = has
-		now := make(map[string]bool, len(members))
 		for _, one := range members {
-			now[one.Name] = true
-			if was, known := before.marks[one.Name]; !known || !same(was, marked(one)) {
+			if rolls.names[one.Name].turn > since {
 				grant.Members = append(grant.Members, one)
 			}
 		}
-		for name := range before.marks {
-			if !now[name] {
+		for name, turn := range rolls.gone {
+			if turn > since {
 				grant.Gone = append(grant.Gone, name)
 			}
 		}
+		if len(grant.Members) >= packedFrom {
+			grant.Rolled, grant.Members = wire.PackValue(grant.Members), nil
+		}
 	}
 }
