A renewal that finds the members unchanged lists and sums nobody

Now a session's part of the sum is taken where it is heard, and a sum is a sum of those. TestSumsOfTables: it is the sum that daemons find.

--- a/permit/office.go
+++ b/permit/office.go
@@ -339,11 +339,13 @@
 		if placed := values[PlacedKey]; placed.Serial > ask.Placed {
 			grant.Placed, grant.PlacedSerial = placed.Data, placed.Serial
 		}
-		members := office.Table.Members("")
-		office.list(members, ask.Members, grant)
-		if ask.IsStale && (grant.Base != 0 || grant.Sum == ask.Members) {
-			for _, one := range members {
-				grant.Uptimes = append(grant.Uptimes, one.Uptime.Milliseconds())
+		if grant.Sum = office.Table.Sum(""); grant.Sum != ask.Members || ask.IsStale {
+			members := office.Table.Members("")
+			office.list(members, ask.Members, grant)
+			if ask.IsStale && (grant.Base != 0 || grant.Sum == ask.Members) {
+				for _, one := range members {
+					grant.Uptimes = append(grant.Uptimes, one.Uptime.Milliseconds())
+				}
 			}
 		}
 		grant.Length = fresh.Span("permit_ms", "")
--- a/session/session.go
+++ b/session/session.go
@@ -92,6 +92,7 @@
 	slot      uint64
 	told      told
 	firstHand time.Duration
+	sum       uint64 // the member's part of a sum
 }
 
 // Options of a table.
@@ -148,9 +149,9 @@
 		table.hear(row{Session: Session{Member: beat.Member, Report: beat.Report}, heard: now}, true)
 	}
 	table.guard.Unlock()
-	answer.Controls = table.Members(Control)
-	if answer.Sum = Sum(answer.Controls); answer.Sum == beat.Known {
-		answer.Controls = nil
+	if answer.Sum = table.Sum(Control); answer.Sum != beat.Known {
+		answer.Controls = table.Members(Control)
+		answer.Sum = Sum(answer.Controls)
 	}
 	return nil
 }
@@ -220,6 +221,16 @@
 	return out
 }
 
+// Sum is the sum of Members, without listing them.
+func (table *Table) Sum(role string) (sum uint64) {
+	table.guard.Lock()
+	defer table.guard.Unlock()
+	for _, one := range table.live(role, func() Session { return Session{Member: table.Self} }) {
+		sum = joined(sum, one.sum)
+	}
+	return max(1, sum)
+}
+
 // live lists the rows that stand, with the own word among them; who holds the guard calls
 // it.
 func (table *Table) live(role string, own func() Session) (out []*row) {
@@ -231,7 +242,9 @@
 	}
 	if role == "" || role == table.Self.Role {
 		at, _ := slices.BinarySearchFunc(out, table.Self.Name, func(one *row, name string) int { return strings.Compare(one.Member.Name, name) })
-		out = slices.Insert(out, at, &row{Session: own(), heard: now})
+		self := row{Session: own(), heard: now}
+		self.sum = self.Member.sum()
+		out = slices.Insert(out, at, &self)
 	}
 	return out
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -1,6 +1,7 @@
 package session_test
 
 import (
+	"fmt"
 	"net/rpc"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"swifttiller/register"
 	"swifttiller/session"
 	"swifttiller/sim"
+	"swifttiller/standing"
 )
 
 type service struct{ *session.Table }
@@ -51,3 +53,39 @@
 		So(names("x"), ShouldResemble, []string{"seed", "x"})
 	})
 }
+
+func TestSumsOfTables(t *testing.T) {
+	Convey("a table's sum is that of its members, whatever has changed", t, func() {
+		circle := newCircle(3)
+		defer circle.Close()
+		check := func() {
+			for _, name := range []string{"x", "y", "z"} {
+				table := circle.tables[name]
+				for _, role := range []string{"", session.Data, session.Control} {
+					So(table.Sum(role), ShouldEqual, session.Sum(table.Members(role)))
+				}
+			}
+		}
+		circle.Run(time.Second)
+		check()
+		before := circle.tables["x"].Sum("")
+		for index := 0; index < 20; index++ {
+			circle.beats(fmt.Sprint("d", index), "x", func() standing.Report { return standing.Report{} })
+			circle.Run(50 * time.Millisecond)
+			check()
+		}
+		So(circle.tables["x"].Sum(""), ShouldNotEqual, before)
+		all := circle.tables["x"].Sum("")
+		circle.Kill("d3")
+		circle.Kill("y")
+		for range 30 {
+			circle.Run(100 * time.Millisecond)
+			for _, name := range []string{"x", "z"} {
+				table := circle.tables[name]
+				So(table.Sum(""), ShouldEqual, session.Sum(table.Members("")))
+			}
+		}
+		So(circle.tables["x"].Sum(""), ShouldNotEqual, all)
+		So(session.Sum([]session.Member{{Name: "a"}, {Name: "b"}}), ShouldNotEqual, session.Sum([]session.Member{{Name: "b"}, {Name: "a"}}))
+	})
+}
--- a/session/share.go
+++ b/session/share.go
@@ -199,17 +199,26 @@
 // slowly is how many sessions apart counts alone are told again.
 const slowly = 20
 
-// Sum is a sum over who the members are, and not over how long they have been up,
-// what they hold and what they keep.
-func Sum(members []Member) uint64 {
+// Sum is a sum over who the members are, in their order, and not over how long they have been
+// up, what they hold and what they keep.
+func Sum(members []Member) (sum uint64) {
+	for at := range members {
+		sum = joined(sum, members[at].sum())
+	}
+	return max(1, sum)
+}
+
+// joined is the sum of some members and one more.
+func joined(sum, one uint64) uint64 { return sum*1099511628211 + one }
+
+// sum is a member's part of a sum.
+func (member *Member) sum() uint64 {
 	sum := fnv.New64a()
-	for _, one := range members {
-		for _, word := range []string{one.Name, one.Incarnation, one.Role, one.Region, one.Zone, one.Wire, one.HTTP, one.Door, one.Acceptor, strconv.FormatBool(one.Leaving)} {
-			_, _ = sum.Write([]byte(word))
-			_, _ = sum.Write([]byte{0})
-		}
+	for _, word := range []string{member.Name, member.Incarnation, member.Role, member.Region, member.Zone, member.Wire, member.HTTP, member.Door, member.Acceptor, strconv.FormatBool(member.Leaving)} {
+		_, _ = sum.Write([]byte(word))
+		_, _ = sum.Write([]byte{0})
 	}
-	return max(1, sum.Sum64())
+	return Spread(sum.Sum64())
 }
 
 // content is the session without what marks tell.
@@ -287,6 +296,7 @@
 	if one.slot > 0 {
 		one.told = table.next(one.told, one.Session, table.World.Now())
 	}
+	one.sum = one.Member.sum()
 	table.rows[one.Member.Name] = &one
 }
 
--- a/session/table_bench_test.go
+++ b/session/table_bench_test.go
@@ -38,4 +38,14 @@
 			}
 		}
 	})
+	b.Run("sum", func(b *testing.B) {
+		for b.Loop() {
+			table.Sum("")
+		}
+	})
+	b.Run("members", func(b *testing.B) {
+		for b.Loop() {
+			session.Sum(table.Members(""))
+		}
+	})
 }
