--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -7,9 +7,12 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/gob"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -39,6 +42,23 @@
 	return ballot.Proposer < other.Proposer
 }
 
+// Mark stands for a ballot where an acceptor is told which values the asker has: a proposer's
+// name alone is longer. It is taken of SHA-256, so no two ballots share one but by a chance of
+// one in 2^64.
+type Mark uint64
+
+// mark gives the ballot's mark; zero where nothing was accepted.
+func (ballot Ballot) mark() Mark {
+	if ballot == (Ballot{}) {
+		return 0
+	}
+	text := make([]byte, 0, 16+len(ballot.Proposer))
+	text = binary.BigEndian.AppendUint64(text, ballot.Epoch)
+	text = binary.BigEndian.AppendUint64(text, ballot.Round)
+	sum := sha256.Sum256(append(text, ballot.Proposer...))
+	return Mark(binary.BigEndian.Uint64(sum[:]))
+}
+
 // Value is what a register holds.
 //
 // Invariant: Serial rises by one with every decided change. Trail names the
@@ -346,8 +366,9 @@
 }
 
 // Vote answers an Ask. A given vote names no core, as it is the asked one; the cell
-// has its value only in an answer to Prepare, and there only if the asker does not
-// hold it: IsHeld tells that it does, under another ballot.
+// has what was promised only where that outvotes the ask, and what was accepted only in an
+// answer to Prepare, its value only if the asker does not hold it: IsHeld tells that it does,
+// under another ballot.
 type Vote struct {
 	ID     string
 	Kind   int
@@ -385,11 +406,11 @@
 		return nil
 	}
 	cell := state.Cells[ask.Key]
-	vote.Cell = Cell{Promised: cell.Promised, Accepted: cell.Accepted}
 	if !cell.Promised.Less(ask.Ballot) {
-		vote.Kind = Outvoted
+		vote.Kind, vote.Cell.Promised = Outvoted, cell.Promised
 		return nil
 	}
+	vote.Cell.Accepted = cell.Accepted
 	switch {
 	case cell.Accepted == ask.Have:
 	case ask.Sum != Sum{} && cell.Value.isLong() && acceptor.sum(ask.Key, cell) == ask.Sum:
@@ -414,9 +435,8 @@
 		return nil
 	}
 	cell := state.Cells[ask.Key]
-	vote.Cell = Cell{Promised: cell.Promised, Accepted: cell.Accepted}
 	if ask.Ballot.Less(cell.Promised) {
-		vote.Kind = Outvoted
+		vote.Kind, vote.Cell.Promised = Outvoted, cell.Promised
 		return nil
 	}
 	before := cell
@@ -432,25 +452,68 @@
 	return &record{Key: ask.Key, Cell: cell, before: before}
 }
 
-// Look asks for cells by key and by prefix, without a promise.
+// Keys are names of registers. On the wire each is told by how much of the one before it
+// begins with, and by the rest, as most differ in their ends alone.
+type Keys []string
+
+// GobEncode gives them as they travel.
+func (keys Keys) GobEncode() ([]byte, error) {
+	var out []byte
+	before := ""
+	for _, key := range keys {
+		same := 0
+		for same < min(len(key), len(before)) && key[same] == before[same] {
+			same++
+		}
+		out = binary.AppendUvarint(out, uint64(same))
+		out = binary.AppendUvarint(out, uint64(len(key)-same))
+		out = append(out, key[same:]...)
+		before = key
+	}
+	return out, nil
+}
+
+var errKeys = errors.New("register: keys that came can't be read")
+
+// GobDecode reads them.
+func (keys *Keys) GobDecode(data []byte) error {
+	*keys = nil
+	before := ""
+	for len(data) > 0 {
+		same, read := binary.Uvarint(data)
+		if read <= 0 || same > uint64(len(before)) {
+			return errKeys
+		}
+		data = data[read:]
+		rest, read := binary.Uvarint(data)
+		if read <= 0 || rest > uint64(len(data)-read) {
+			return errKeys
+		}
+		before = before[:same] + string(data[read:read+int(rest)])
+		*keys, data = append(*keys, before), data[read+int(rest):]
+	}
+	return nil
+}
+
+// Look asks for cells by key, without a promise, and for the names under a prefix.
 type Look struct {
 	Epoch uint64
-	Keys  []string
-	// Have are, in the order of the keys, the ballots whose values the asker holds
-	// already; none for nothing.
-	Have   []Ballot
+	Keys  Keys
+	// Marks are, in the order of the keys, those of the ballots whose values the asker
+	// holds already; zero for nothing.
+	Marks  []Mark
 	Prefix string
-	Bare   bool // leave the values and promises out
 	// Brief asks for the sums of long values in their place.
 	Brief bool
 }
 
 // Seen answers a Look. A key that was asked for and is not in it is held as the asker
 // has it. A key in Long has the sum there in place of its value, of which the cell has
-// the serial alone.
+// the serial alone. Names are those under the prefix that were ever written.
 type Seen struct {
 	Vote
 	Cells map[string]Cell
+	Names Keys
 	Long  map[string]Sum
 }
 
@@ -469,16 +532,13 @@
 			if line := acceptor.pending[key]; line != nil && isShown {
 				cell = line.lasting
 			}
-			if look.Bare {
-				cell.Promised, cell.Value = Ballot{}, Value{Serial: cell.Value.Serial}
-			}
 			seen.Cells[key] = cell
 		}
 		for index, key := range look.Keys {
 			show(key)
 			cell := seen.Cells[key]
 			switch {
-			case index < len(look.Have) && cell.Accepted == look.Have[index]:
+			case index < len(look.Marks) && cell.Accepted.mark() == look.Marks[index]:
 				delete(seen.Cells, key)
 			case look.Brief && cell.Value.isLong():
 				if seen.Long == nil {
@@ -491,9 +551,10 @@
 		if look.Prefix != "" {
 			for key, cell := range state.Cells {
 				if strings.HasPrefix(key, look.Prefix) && cell.Value.Serial > 0 {
-					show(key)
+					seen.Names = append(seen.Names, key)
 				}
 			}
+			sort.Strings(seen.Names)
 		}
 		return nil
 	}
@@ -535,16 +596,20 @@
 	return nil
 }
 
-// SealAsk closes an epoch at an acceptor in favour of the next core.
+// SealAsk closes an epoch at an acceptor in favour of the next core. Have are the marks of
+// the copies that the asker has already.
 type SealAsk struct {
 	Epoch uint64
 	Next  Core
+	Have  map[Mark]bool
 }
 
-// Sealed answers with everything that the acceptor holds.
+// Sealed answers with everything that the acceptor holds and the asker does not have. Absent
+// are the marks of what it has and the acceptor does not hold.
 type Sealed struct {
 	Vote
-	Cells map[string]Cell
+	Cells  map[string]Cell
+	Absent map[Mark]bool
 }
 
 // Seal declines ballots of the epoch for good and gives up what is held. An
@@ -565,9 +630,13 @@
 			one = &record{Whole: state}
 		}
 		vote.Sealed, vote.Next = state.Sealed, state.Next
-		sealed.Cells = map[string]Cell{}
+		sealed.Cells, sealed.Absent = map[string]Cell{}, maps.Clone(ask.Have)
 		for key, cell := range state.Cells {
-			sealed.Cells[key] = cell
+			if mark := copied(key, cell.Accepted); ask.Have[mark] {
+				delete(sealed.Absent, mark)
+			} else {
+				sealed.Cells[key] = cell
+			}
 		}
 		return one
 	})
@@ -577,7 +646,8 @@
 	return nil
 }
 
-// Move brings an acceptor into a core with all that was decided before it.
+// Move brings an acceptor into a core with all that was decided before it, of which what
+// it was seen to hold when it was sealed is left out.
 type Move struct {
 	Core  Core
 	Cells map[string]Cell
@@ -653,10 +723,18 @@
 	return nil
 }
 
-// Range asks for the accepted cells of one range.
+// Range asks for the accepted cells of one range. Have are the marks of the asker's own
+// copies, by key; those that are the same are left out of the answer.
 type Range struct {
 	Epoch  uint64
 	Bucket int
+	Have   map[Mark]bool
+}
+
+// copied marks a copy of a key that was accepted under the ballot.
+func copied(key string, accepted Ballot) Mark {
+	accepted.Proposer += "/" + key
+	return accepted.mark()
 }
 
 // Fetch gives the cells of a range.
@@ -667,7 +745,7 @@
 		}
 		seen.Cells = map[string]Cell{}
 		for key, cell := range state.Cells {
-			if Bucket(key) == ask.Bucket {
+			if Bucket(key) == ask.Bucket && !ask.Have[copied(key, cell.Accepted)] {
 				seen.Cells[key] = cell
 			}
 		}
--- a/session/share.go
+++ b/session/share.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"encoding/binary"
+	"errors"
 	"hash/fnv"
 	"maps"
 	"reflect"
@@ -12,6 +14,7 @@
 	"swifttiller/loop"
 	"swifttiller/register"
 	"swifttiller/standing"
+	"swifttiller/wire"
 )
 
 // Shared is what one control daemon tells another, and the other's answer.
@@ -21,8 +24,11 @@
 // is not known to have.
 type Shared struct {
 	From     string // the incarnation of who tells
-	Marks    []Mark
+	Marks    Marks
 	Sessions []Content
+	// Packed are Sessions in their place, where they are many: most of what one daemon's
+	// has, such as names of replicas, others' have, too.
+	Packed []byte
 	// Epoch is the teller's core's. Core is left out where the other knows it.
 	Epoch uint64
 	Core  register.Core
@@ -31,6 +37,26 @@
 	Lacks []uint64
 }
 
+// packedFrom is from how many contents on they are packed: fewer are short.
+const packedFrom = 4
+
+// pack packs the contents, if they are many.
+func (shared *Shared) pack() {
+	if len(shared.Sessions) >= packedFrom {
+		shared.Packed, shared.Sessions = wire.PackValue(shared.Sessions), nil
+	}
+}
+
+// unpack gives contents that came packed back.
+func (shared *Shared) unpack() error {
+	if len(shared.Packed) == 0 {
+		return nil
+	}
+	packed := shared.Packed
+	shared.Packed = nil
+	return wire.UnpackValue(packed, &shared.Sessions)
+}
+
 // Mark says that a session stands: its content under the serial is the teller's newest,
 // and it was heard Age ago. Times are in milliseconds, rounded to the careful side.
 type Mark struct {
@@ -45,6 +71,90 @@
 	Applied []uint64
 }
 
+// Marks are those of a call, in the order of their slots. On the wire each is told by what
+// it differs in from the one before it: most of what control daemons tell each other in calm
+// is marks.
+type Marks []Mark
+
+// What a mark's slot is told with: whether lists follow.
+const (
+	hasKept    = 1
+	hasApplied = 2
+	flagBits   = 2
+)
+
+// GobEncode gives them as they travel.
+func (marks Marks) GobEncode() ([]byte, error) {
+	out := make([]byte, 0, 10*len(marks))
+	list := func(numbers []uint64) {
+		out = binary.AppendUvarint(out, uint64(len(numbers)))
+		for _, number := range numbers {
+			out = binary.AppendUvarint(out, number)
+		}
+	}
+	var before Mark
+	for _, one := range marks {
+		flags := uint64(0)
+		if len(one.Kept) > 0 {
+			flags |= hasKept
+		}
+		if len(one.Applied) > 0 {
+			flags |= hasApplied
+		}
+		out = binary.AppendUvarint(out, (one.Slot-before.Slot)<<flagBits|flags)
+		out = binary.AppendVarint(out, int64(one.Serial-before.Serial))
+		out = binary.AppendUvarint(out, one.Age)
+		out = binary.AppendUvarint(out, one.Permit)
+		if flags&hasKept > 0 {
+			list(one.Kept)
+		}
+		if flags&hasApplied > 0 {
+			list(one.Applied)
+		}
+		before = one
+	}
+	return out, nil
+}
+
+var errMarks = errors.New("session: marks that came can't be read")
+
+// GobDecode reads them.
+func (marks *Marks) GobDecode(data []byte) error {
+	*marks = nil
+	isWhole := true
+	number := func() uint64 {
+		out, read := binary.Uvarint(data)
+		isWhole = isWhole && read > 0
+		data = data[max(0, read):]
+		return out
+	}
+	list := func() (out []uint64) {
+		for count := number(); isWhole && count > 0; count-- {
+			out = append(out, number())
+		}
+		return out
+	}
+	var before Mark
+	for len(data) > 0 {
+		head := number()
+		delta, read := binary.Varint(data)
+		isWhole = isWhole && read > 0
+		data = data[max(0, read):]
+		one := Mark{Slot: before.Slot + head>>flagBits, Serial: before.Serial + uint64(delta), Age: number(), Permit: number()}
+		if head&hasKept > 0 {
+			one.Kept = list()
+		}
+		if head&hasApplied > 0 {
+			one.Applied = list()
+		}
+		if !isWhole {
+			return errMarks
+		}
+		*marks, before = append(*marks, one), one
+	}
+	return nil
+}
+
 // Content is a session's content.
 type Content struct {
 	Slot, Serial uint64
@@ -89,17 +199,26 @@
 // slowly is how many sessions apart counts alone are told again.
 const slowly = 20
 
-// Sum is a sum over who the members are, and not over how long they have been up,
-// what they hold and what they keep.
-func Sum(members []Member) uint64 {
+// Sum is a sum over who the members are, in their order, and not over how long they have been
+// up, what they hold and what they keep.
+func Sum(members []Member) (sum uint64) {
+	for at := range members {
+		sum = joined(sum, members[at].sum())
+	}
+	return max(1, sum)
+}
+
+// joined is the sum of some members and one more.
+func joined(sum, one uint64) uint64 { return sum*1099511628211 + one }
+
+// sum is a member's part of a sum.
+func (member *Member) sum() uint64 {
 	sum := fnv.New64a()
-	for _, one := range members {
-		for _, word := range []string{one.Name, one.Incarnation, one.Role, one.Region, one.Zone, one.Wire, one.HTTP, one.Door, one.Acceptor, strconv.FormatBool(one.Leaving)} {
-			_, _ = sum.Write([]byte(word))
-			_, _ = sum.Write([]byte{0})
-		}
+	for _, word := range []string{member.Name, member.Incarnation, member.Role, member.Region, member.Zone, member.Wire, member.HTTP, member.Door, member.Acceptor, strconv.FormatBool(member.Leaving)} {
+		_, _ = sum.Write([]byte(word))
+		_, _ = sum.Write([]byte{0})
 	}
-	return max(1, sum.Sum64())
+	return Spread(sum.Sum64())
 }
 
 // content is the session without what marks tell.
@@ -177,11 +296,15 @@
 	if one.slot > 0 {
 		one.told = table.next(one.told, one.Session, table.World.Now())
 	}
+	one.sum = one.Member.sum()
 	table.rows[one.Member.Name] = &one
 }
 
 // Share takes a colleague's sessions, and says what it did not understand.
 func (table *Table) Share(shared Shared, back *Shared) error {
+	if err := shared.unpack(); err != nil {
+		return err
+	}
 	table.Keeper.Learn(shared.Core)
 	lacks, sessions := table.understand(shared)
 	table.take(shared.From, sessions)
@@ -360,6 +483,7 @@
 			// One that lacks something, as it began anew, is told at once.
 			for try := 0; try < 2; try++ {
 				shared, next := table.give(addresses[index])
+				shared.pack()
 				back := new(Shared)
 				if table.Net.Call(addresses[index], "Session.Share", shared, back, table.Span()/4) != nil {
 					break
