A daemon that begins anew stays with the control daemon it drew until that is there

Cause: after a power cut of the large first site all 294 data daemons went on to the control daemon that listened first: the process of the others was not there yet, and refused.

Ruled out: the disks; a lack of a majority (all six listened 0.2 s after it); records, which were in batches.

A daemon that has not heard of any control daemon yet tries the one that it drew again each 30 ms for a quarter of a session's span, where nothing can have been sent, before it goes on.

--- a/fleet/power_test.go
+++ b/fleet/power_test.go
@@ -74,6 +74,12 @@
 // would take them one after the other.
 func TestPowerCutAsksAreSpread(t *testing.T) {
 	skipLong(t)
+	for _, earlier := range []time.Duration{0, 150 * time.Millisecond} {
+		t.Run(earlier.String(), func(t *testing.T) { asksAreSpread(t, earlier) })
+	}
+}
+
+func asksAreSpread(t *testing.T, earlier time.Duration) {
 	plan := grown(36, 9, 6)
 	park := apart(1, plan)
 	defer park.Close()
@@ -90,12 +96,14 @@
 		}
 		asked[to][from] = true
 	}
-	for _, name := range controls {
-		park.StartControl(name)
-	}
+	park.StartControl(controls[0])
 	for _, name := range datas {
 		park.StartData(name)
 	}
+	park.Run(earlier)
+	for _, name := range controls[1:] {
+		park.StartControl(name)
+	}
 	has := func() bool {
 		for _, daemon := range park.Datas {
 			if !daemon.Holder.View().Stands(park.Now()) {
--- a/session/session.go
+++ b/session/session.go
@@ -446,14 +446,37 @@
 // comes last.
 const shunnedSpans = 4
 
+// A daemon that begins anew and can't reach the control daemon that it drew tries that one
+// again, startPause apart, for a part of a session's span: after a power cut all begin at
+// once, and all daemons would else go on to the control daemon that is there first.
+const (
+	startShare = 4
+	startPause = 30 * time.Millisecond
+)
+
+// isNew tells whether no control daemon has told this daemon of others yet.
+func (client *Client) isNew() bool {
+	client.guard.Lock()
+	defer client.guard.Unlock()
+	return client.known == 0 && client.at == ""
+}
+
 // Ask calls the control daemons in turn until one gives an answer that will do,
 // and stays with that one. If none does, the last that answered is heard.
 func (client *Client) Ask(method string, args any, fresh func() any, willDo func(reply any) bool, patience time.Duration) (any, error) {
 	var last error
 	var poor any
+	expiry := client.World.Now()
+	if client.isNew() {
+		expiry += client.Span() / startShare
+	}
 	for _, address := range client.Controls() {
 		reply := fresh()
 		err := client.Net.Call(address, method, args, reply, patience)
+		for wire.Unsent(err) && client.World.Now() < expiry && !client.World.Ended() {
+			loop.Sleep(client.World, startPause)
+			err = client.Net.Call(address, method, args, reply, patience)
+		}
 		if err == nil && willDo(reply) {
 			client.guard.Lock()
 			client.at = address
