--- a/quota/town_test.go
+++ b/quota/town_test.go
@@ -18,6 +18,7 @@
 var (
 	seeds = flag.Int("seeds", 1, "seeds to try")
 	first = flag.Uint64("seed", 1, "the first of them")
+	large = flag.Bool("large", false, "measure the target size as well")
 )
 
 // terms are those of a deployment, kept what the meters are told of them, as the adapter does.
@@ -73,8 +74,13 @@
 
 const farWay = 35 * time.Millisecond
 
-// newTown starts meters in three regions, which make about 800 requests a second.
+// newTown starts meters in some regions, which are asked for so many requests a second by as
+// many tenants; they are of like size, or a few of them are large.
 func newTown(seed uint64, counts []int, perSecond float64) *town {
+	return newTownOf(seed, counts, perSecond, 90, false)
+}
+
+func newTownOf(seed uint64, counts []int, perSecond float64, tenants int, isEven bool) *town {
 	town := &town{Sim: sim.New(seed), region: map[string]string{}, meters: map[string]*quota.Meter{}, lists: map[string][]session.Member{}, expiry: map[string]time.Duration{}, outside: map[string]bool{}, leaving: map[string]bool{}, rates: map[string]float64{}, times: 1, changes: map[string][]change{}}
 	town.Latency, town.Jitter = 300*time.Microsecond, 600*time.Microsecond
 	for at, count := range counts {
@@ -91,14 +97,18 @@
 			}
 		}
 	}
-	// A few tenants are large.
-	const tenants = 90
 	sum := 0.0
+	part := func(rank int) float64 {
+		if isEven {
+			return 1
+		}
+		return 1 / float64(rank+1)
+	}
 	for rank := range tenants {
-		sum += 1 / float64(rank+1)
+		sum += part(rank)
 	}
 	for rank := range tenants {
-		usual := perSecond / float64(rank+1) / sum
+		usual := perSecond * part(rank) / sum
 		name := fmt.Sprint("tenant", rank)
 		town.rates[name] = usual
 		limit := math.Ceil(1.6 * usual)
@@ -584,3 +594,77 @@
 		}
 	}
 }
+
+// TestCost: what the counting costs grows with the requests of a daemon, and little with the
+// number of daemons and tenants.
+func TestCost(t *testing.T) {
+	type size struct {
+		counts    []int
+		tenants   int
+		perDaemon float64
+		isHot     bool
+	}
+	sizes := []size{{[]int{2, 2, 2}, 30, 9, false}, {[]int{29, 31, 28}, 90, 9, false}, {[]int{29, 31, 28}, 90, 9, true}}
+	if *large {
+		var target []int
+		for range 16 {
+			target = append(target, 26)
+		}
+		sizes = append(sizes, size{target, 21000, 26, false})
+	}
+	for _, size := range sizes {
+		count := 0
+		for _, one := range size.counts {
+			count += one
+		}
+		town := newTownOf(1, size.counts, size.perDaemon*float64(count), size.tenants, size.tenants > 1000)
+		town.Run(3 * time.Second)
+		town.traffic()
+		if size.isHot {
+			town.heat("tenant0", 7.5, time.Hour)
+		}
+		town.Run(4 * time.Second)
+		sent := map[string]int{}
+		far, calls, whole := 0, 0, 0
+		town.OnBytes = func(from, to, _ string, bytes int) {
+			bytes += 80 // headers
+			calls++
+			whole += bytes
+			sent[from] += bytes
+			sent[to] += bytes
+			if town.region[from] != town.region[to] {
+				far += bytes
+			}
+		}
+		const span = 4
+		town.Run(span * time.Second)
+		most, sum := 0, 0
+		for _, bytes := range sent {
+			most, sum = max(most, bytes), sum+bytes
+		}
+		t.Logf("%d daemons in %d regions, %d tenants, %.0f requests a second each, hot %v: %d bytes a second to and from a daemon on the average, %d at the busiest; %.1f calls and answers a second for each daemon; %d bytes a second between regions",
+			count, len(size.counts), size.tenants, size.perDaemon, size.isHot, sum/count/span, most/span, float64(calls)/span/float64(count), far/span)
+		if !size.isHot && !*large && count > 50 && sum/count/span > 3000 {
+			t.Errorf("%d bytes a second for a daemon", sum/count/span)
+		}
+		town.Close()
+	}
+}
+
+// BenchmarkAsk is a request of a tenant that is not near its limit.
+func BenchmarkAsk(b *testing.B) {
+	town := newTown(1, []int{2, 2, 2}, 800)
+	town.Run(5 * time.Second)
+	done := false
+	town.Node("a0").Go(func() {
+		for range b.N {
+			town.meters["a0"].Ask("tenant0")
+			town.meters["a0"].Return("tenant0")
+		}
+		done = true
+	})
+	for !done {
+		town.Run(time.Millisecond)
+	}
+	town.Close()
+}
