--- a/quota/core_test.go
+++ b/quota/core_test.go
@@ -156,10 +156,7 @@
 		So(hub.share, ShouldEqual, 0.25)
 		So(hub.buckets[one.key] == nil || hub.buckets[one.key].level <= one.most/4, ShouldBeTrue)
 	})
-	Convey("a daemon that is young, or whose share is over, grants nothing", t, func() {
-		hub := newHub("a", limits)
-		hub.look(at, limits, 1, true, false)
-		So(wants(hub, at, "a0", 1).Granted[0], ShouldEqual, 0)
+	Convey("a daemon whose share is over grants nothing", t, func() {
 		hub, now := filled("b", 1, 4, limits)
 		hub.look(now, limits, 4, false, true)
 		So(wants(hub, now, "b0", 1).Granted[0], ShouldEqual, 0)
@@ -279,3 +276,20 @@
 		t.Errorf("quota: %d at once, of %.0f in a bucket and %.0f of the error", granted, one.most, one.part)
 	}
 }
+
+// TestYoung: a daemon that has only just had a list of the others grants nothing, however few
+// are on it.
+func TestYoung(t *testing.T) {
+	limits := Index(terms, []Limit{{"one", 100, 100}})
+	hub, now, granted := newHub("a", limits), at, uint64(0)
+	hub.look(now, limits, 1, true, false)
+	for seq := range uint64(5) {
+		word, _ := hub.report(now, Report{From: "a", Seq: seq + 1, Keys: []uint64{limits.named["one"].key}, Wants: []uint64{1}})
+		granted += word.Granted[0]
+		now += 100 * time.Millisecond
+		hub.look(now, limits, 1, true, false)
+	}
+	if granted > 0 {
+		t.Errorf("quota: %d granted", granted)
+	}
+}
