--- a/quota/meter.go
+++ b/quota/meter.go
@@ -346,6 +346,10 @@
 	all := len(meter.members)
 	// A daemon without a list for so long may have lost its share to the others.
 	isOver := now > listed+limits.Reserve && 2*inTouch <= all
+	if len(limits.named) == 0 {
+		meter.guard.Unlock()
+		return // nothing is to be counted
+	}
 	lost := meter.lost()
 	isBetter := !meter.isReady && meter.at != meter.Self.Wire && rank(meter.Self.Wire) > rank(meter.at)
 	meter.fly()
--- a/quota/town_test.go
+++ b/quota/town_test.go
@@ -539,6 +539,21 @@
 	{"calls lost", func(town *town) { town.Unruly = sim.Unruly{Lost: 0.05} }, 0.2},
 	{"calls repeated", func(town *town) { town.Unruly = sim.Unruly{Repeated: 0.05, Latest: time.Second} }, 0.03},
 	{"calls late", func(town *town) { town.Unruly = sim.Unruly{Late: 0.05, Latest: time.Second} }, 0.12},
+	{"daemons die in their calls", func(town *town) {
+		until := town.Now() + 6*time.Second
+		town.OnKill = func(name string) {
+			if town.Node(name).Up() {
+				town.Kill(name)
+				town.At(1500*time.Millisecond, func() { town.start(name) })
+			}
+		}
+		town.OnCall = func(_, to, _ string) sim.Fate {
+			if town.Now() > until || town.Draw(300) > 0 {
+				return sim.Passes
+			}
+			return []sim.Fate{sim.SenderDies, sim.ReceiverDies, sim.AnswerLost}[town.Draw(3)]
+		}
+	}, 0.25},
 	{"leaving in order", func(town *town) {
 		hub := town.hubOf("a")
 		town.leaving[hub] = true
@@ -651,6 +666,30 @@
 	}
 }
 
+// TestNoLimits: where no tenant has a limit nothing is said.
+func TestNoLimits(t *testing.T) {
+	town := newTown(1, []int{2, 2, 2}, 800)
+	defer town.Close()
+	for at := range town.list {
+		town.list[at].PerSecond = 0
+	}
+	town.index()
+	town.Run(2 * time.Second)
+	before := len(town.seen)
+	town.traffic()
+	calls := 0
+	town.OnBytes = func(string, string, string, int) { calls++ }
+	town.Run(2 * time.Second)
+	for _, one := range town.seen {
+		if !one.isAllowed {
+			t.Fatalf("%s was declined", one.tenant)
+		}
+	}
+	if calls > 0 || len(town.seen)-before < 1000 {
+		t.Errorf("%d calls for %d requests", calls, len(town.seen)-before)
+	}
+}
+
 // BenchmarkAsk is a request of a tenant that is not near its limit.
 func BenchmarkAsk(b *testing.B) {
 	town := newTown(1, []int{2, 2, 2}, 800)
