--- a/fleet/power_test.go
+++ b/fleet/power_test.go
@@ -157,6 +157,6 @@
 	took := park.Now() - began
 	t.Logf("%d have permits after %v", stand, took)
 	if took > 1500*time.Millisecond {
-		t.Errorf("permits stand after %v", took)
+		t.Errorf("control traffic: permits stand after %v", took)
 	}
 }
