--- a/permit/told_test.go
+++ b/permit/told_test.go
@@ -64,6 +64,6 @@
 	}
 	t.Logf("%d lists were told whole, of %d others the longest had %d bytes", whole, parts, most)
 	if whole > 40 || parts < 300 || most > 8e3 {
-		t.Errorf("%d lists were told whole, of %d others the longest had %d bytes", whole, parts, most)
+		t.Errorf("control traffic: %d lists were told whole, of %d others the longest had %d bytes", whole, parts, most)
 	}
 }
