--- a/register/core.go
+++ b/register/core.go
@@ -174,13 +174,30 @@
 }
 
 // carry looks for a change of the core that was decided but not finished, at
-// the members of the core that this keeper knows, and finishes it.
+// the members of the core that this keeper knows, and finishes it. Most often the
+// one who decided it is about to: it gets a moment, as two who carry the same
+// change through bring every copy twice.
 func (keeper *Keeper) carry() {
+	if old, next := keeper.unfinished(); next.Epoch == 0 || keeper.Core().Epoch > next.Epoch {
+		return
+	} else if loop.Sleep(keeper.World, keeper.Patience/unfinishedWait); keeper.carried(next) {
+		keeper.Learn(next)
+	} else if keeper.Core().Epoch <= next.Epoch {
+		_ = keeper.advance(old, next) // the caller's next try shows how it went
+	}
+}
+
+// unfinishedWait is the share of an operation's patience that whoever decided a change of
+// the core gets to finish it before others do.
+const unfinishedWait = 20
+
+// unfinished asks the members of the cores that this keeper knows for a sealed epoch, and
+// the core that it was sealed for; it learns of newer cores on the way.
+func (keeper *Keeper) unfinished() (old, next Core) {
 	keeper.guard.Lock()
 	core, former := keeper.core, keeper.former
 	keeper.guard.Unlock()
 	both := Core{Epoch: core.Epoch, Members: append(append([]Member{}, core.Members...), former.Members...)}
-	var old, next Core
 	ask(keeper, both, "Describe", struct{}{}, keeper.Patience/4, func(about *About, err error) bool {
 		if err != nil && !errors.Is(err, errStranger) {
 			return false
@@ -192,9 +209,7 @@
 		}
 		return false
 	})
-	if next.Epoch > 0 && keeper.Core().Epoch <= next.Epoch {
-		_ = keeper.advance(old, next) // the caller's next try shows how it went
-	}
+	return old, next
 }
 
 // Init makes a first core of the acceptors at the addresses. All must answer
