A checked model: worlds of the registers' own code, explored by deviations

Package modelcheck drives acceptors, proposers and core changes as they are: each message is a step, delivered, lost, repeated or overtaken; acceptors lose power and disks; histories are judged by porcupine. Not in it: leases, orders and the reconciler; ballots without epochs is found by another test.

--- a/docs/style_test.go
+++ b/docs/style_test.go
@@ -12,7 +12,7 @@
 )
 
 // proof are the folders that are no product: stand-ins, simulation, tools.
-var proof = []string{"fleet", "sim", "scripts", "cmd/fleet", "smoke", "docs"}
+var proof = []string{"fleet", "sim", "modelcheck", "scripts", "cmd/fleet", "smoke", "docs"}
 
 var setter = regexp.MustCompile(`^Set[A-Z]`)
 
--- /dev/null
+++ b/modelcheck/net.go
@@ -0,0 +1,109 @@
+package modelcheck
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"swifttiller/wire"
+)
+
+// message is a request or a reply in flight.
+type message struct {
+	number   int
+	from, to string
+	method   string
+	isReply  bool
+	// args are the encoded arguments of a request, or the encoded reply.
+	body []byte
+	box  *mailbox // of the caller
+}
+
+func (message *message) String() string {
+	kind := "request"
+	if message.isReply {
+		kind = "reply"
+	}
+	return fmt.Sprintf("%s %s of %s to %s", strings.TrimPrefix(message.method, "Register."), kind, message.from, message.to)
+}
+
+// network is a node's way to the others.
+type network struct{ node *node }
+
+var errSilent = errors.New("modelcheck: no answer in time")
+
+// Call sends a request and waits for its reply.
+func (network network) Call(address, method string, args, reply any, patience time.Duration) error {
+	node := network.node
+	box := node.Mailbox().(*mailbox)
+	node.run.send(&message{from: node.name, to: address, method: method, body: encode(args), box: box})
+	got, ok := box.Take(patience)
+	if !ok {
+		return &wire.Mishap{Address: address, Method: method, Sent: true, Cause: errSilent}
+	}
+	return decode(got.([]byte), reply)
+}
+
+func (run *Run) send(one *message) {
+	run.sent++
+	one.number = run.sent
+	run.inFlight = append(run.inFlight, one)
+}
+
+// take removes a message from those in flight.
+func (run *Run) take(index int) *message {
+	one := run.inFlight[index]
+	run.inFlight = append(run.inFlight[:index], run.inFlight[index+1:]...)
+	return one
+}
+
+// deliver gives a message to its receiver. A request to a node that has no acceptor is lost.
+func (run *Run) deliver(one *message) {
+	receiver := run.node(one.to)
+	receiver.noted(one.String() + string(one.body))
+	if one.isReply {
+		if one.box.life == receiver.life {
+			one.box.Put(one.body)
+		}
+		return
+	}
+	if receiver.server == nil {
+		return
+	}
+	receiver.Go(func() {
+		if body, err := serve(receiver.server, one); err == nil {
+			run.send(&message{from: one.to, to: one.from, method: one.method, isReply: true, body: body, box: one.box})
+		}
+	})
+}
+
+// serve calls the method of the server and gives its encoded reply.
+func serve(server any, one *message) ([]byte, error) {
+	method := reflect.ValueOf(server).MethodByName(strings.TrimPrefix(one.method, "Register."))
+	if !method.IsValid() {
+		return nil, fmt.Errorf("modelcheck: no method %s", one.method)
+	}
+	args := reflect.New(method.Type().In(0))
+	if err := decode(one.body, args.Interface()); err != nil {
+		return nil, err
+	}
+	reply := reflect.New(method.Type().In(1).Elem())
+	if err, isError := method.Call([]reflect.Value{args.Elem(), reply})[0].Interface().(error); isError {
+		return nil, err
+	}
+	return encode(reply.Interface()), nil
+}
+
+// encode gives a value as it travels; the same value always looks the same.
+func encode(value any) []byte {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // only the registers' own types travel
+	}
+	return body
+}
+
+func decode(body []byte, value any) error { return json.Unmarshal(body, value) }
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -587,6 +587,13 @@
 	Disk   disk.Vitals
 }
 
+// Cells are copies of all that the acceptor holds, for checks of its invariants.
+func (acceptor *Acceptor) Cells() map[string]Cell {
+	acceptor.guard.Lock()
+	defer acceptor.guard.Unlock()
+	return maps.Clone(acceptor.state.Cells)
+}
+
 // Describe tells of the acceptor. It never waits for the disk.
 func (acceptor *Acceptor) Describe(_ struct{}, about *About) error {
 	acceptor.guard.Lock()
