--- a/controlplane/order.go
+++ b/controlplane/order.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"swifttiller/permit"
-	"swifttiller/register"
 	"swifttiller/rollout"
 	"swifttiller/settings"
 	"swifttiller/verdict"
@@ -186,20 +185,12 @@
 	}
 }
 
-// settle carries out a change that may be made twice: what brings about the same again
-// is ErrSame. So if the outcome of a first try can't be told, a second finds out: its
-// ballot is higher, so that the first either lies beneath what it reads, or never will.
-// It is made only where the answer still comes before operators turn to another daemon.
+// settle carries out a change that may be made twice: what brings about the same again is
+// ErrSame. Where its outcome can't be told, whoever sends it again finds out: the ballot of
+// that is higher, so that the first either lies beneath what it reads, or never will.
 func (operator *Operator) settle(span time.Duration, revise func(permit.Config) (permit.Config, error)) (permit.Applied, error) {
-	daemon := operator.daemon
-	applied, err := daemon.Office.Change(nil, operator.fenced(span, revise))
-	if errors.Is(err, register.ErrUncertain) && daemon.World.Now()-operator.arrived < orderSilence {
-		applied, err = daemon.Office.Change(nil, operator.fenced(span, revise))
-		if errors.Is(err, register.ErrNoMajority) || errors.Is(err, register.ErrNoCore) {
-			err = register.ErrUncertain // of the second try alone it is known that it wrote nothing
-		}
-	}
-	return daemon.ended(operator.arrived, applied, err)
+	applied, err := operator.daemon.Office.Change(nil, operator.fenced(span, revise))
+	return operator.daemon.ended(operator.arrived, applied, err)
 }
 
 // ended logs what became of an operator's change.
--- a/fleet/order_test.go
+++ b/fleet/order_test.go
@@ -66,12 +66,12 @@
 				err := park.Do("c1", 10*time.Second, one.call)
 				took := park.Now() - began
 				if err == nil {
-					t.Errorf("%v into the cut: %s: answered without a majority", since, one.name)
+					t.Errorf("order: %v into the cut: %s: answered without a majority", since, one.name)
 				} else if status := controlplane.Answer(err).Status; status < 500 {
-					t.Errorf("%v into the cut: %s: answered %d: %v", since, one.name, status, err)
+					t.Errorf("order: %v into the cut: %s: answered %d: %v", since, one.name, status, err)
 				}
 				if took > answerBound {
-					t.Errorf("%v into the cut: %s: answered after %v", since, one.name, took)
+					t.Errorf("order: %v into the cut: %s: answered after %v", since, one.name, took)
 				}
 				asked++
 			}
@@ -224,6 +224,10 @@
 	park.Crash("c2")
 	park.Run(time.Second)
 	park.StartControl("c2")
+	// It knows nothing of the configuration yet, and must ask.
+	if _, err := replace(park, "c2", labelled(park, changes, "a"), changes-1); err != nil && controlplane.Answer(err).Status < 500 {
+		t.Error("order: a repeat at a daemon that has just begun:", err)
+	}
 	park.Run(3 * time.Second)
 	for _, label := range []uint64{1, 2, 31, 32, 33, 64, 65, 200, changes - 100, changes - 65, changes - 1, changes} {
 		for _, at := range controls {
@@ -286,11 +290,11 @@
 		full = next
 	}
 	if _, err := full.Take([]byte("{}"), "999/x", 0); !errors.Is(err, permit.ErrHistoryFull) {
-		t.Error("one more than can be remembered:", err)
+		t.Error("order: one more than can be remembered:", err)
 	}
 	next, err := full.Take([]byte("{}"), "999/x", 1)
 	if err != nil || next.Archived != 1 || len(next.Taken) != len(full.Taken)-permit.Remembered/2+1 {
-		t.Error("after a page was written:", err, next.Archived, len(next.Taken))
+		t.Error("order: after a page was written:", err, next.Archived, len(next.Taken))
 	}
 	packed, err := next.Pack()
 	if err != nil {
