status tells the core's redundancy: whole copies, wanted, disks that may be lost

A member that came back empty or behind did not show in status but as a digest among others. It now counts as whole once each range agrees with a majority. Not in it: since when.

--- a/cmd/controlplane/commands.go
+++ b/cmd/controlplane/commands.go
@@ -495,11 +495,25 @@
 	return exitDone
 }
 
+// showRedundancy tells which acceptors hold what was decided; nothing without a majority.
+func showRedundancy(redundancy gjson.Result) {
+	if !redundancy.Exists() {
+		return
+	}
+	fmt.Printf("redundancy: %d of %d acceptors whole, %d disks may be lost\n", redundancy.Get("whole").Int(), redundancy.Get("wanted").Int(), redundancy.Get("losable").Int())
+	for _, kind := range []string{"behind", "silent"} {
+		for _, id := range redundancy.Get(kind).Array() {
+			fmt.Printf("acceptor %s: %s\n", kind, id.Str)
+		}
+	}
+}
+
 func showStatus(root gjson.Result) {
 	fmt.Printf("configuration serial %d, core epoch %d of %d acceptors, asked %s\n", root.Get("serial").Int(), root.Get("core.epoch").Int(), len(root.Get("core.members").Array()), root.Get("asked").Str)
 	if !root.Get("majority").Bool() {
 		fmt.Printf("NO MAJORITY: %s\n", root.Get("trouble").Str)
 	}
+	showRedundancy(root.Get("redundancy"))
 	root.Get("unreached").ForEach(func(address, why gjson.Result) bool {
 		fmt.Printf("not reached: %s (%s)\n", address.Str, why.Str)
 		return true
--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -270,8 +270,10 @@
 	Holders    map[string]permit.Record `json:"holders,omitempty"`
 	// Skews are how far each daemon's calendar stands from the asked one's.
 	Skews map[string]time.Duration `json:"skews,omitempty"`
-	// Sums are the acceptors' digests, by identity, range by range.
-	Sums map[string][]string `json:"sums,omitempty"`
+	// Sums are the acceptors' digests, by identity, range by range; Redundancy is what they
+	// say of losses that can be borne.
+	Sums       map[string][]string `json:"sums,omitempty"`
+	Redundancy *Redundancy         `json:"redundancy,omitempty"`
 }
 
 // LocalReply carries a Local over the wire, as JSON: it holds interfaces.
@@ -351,7 +353,7 @@
 		}
 	}
 	slices.Sort(out.SeedsUnmet)
-	value, err := daemon.Read(permit.ConfigKey)
+	value, err := daemon.ReadWithin(permit.ConfigKey, orderSilence)
 	if err != nil {
 		out.Trouble = err.Error()
 		out.Serial = self.Serial
@@ -359,6 +361,8 @@
 	}
 	out.Majority, out.Serial = true, value.Serial
 	out.Sums = daemon.Compare()
+	redundancy := redundancy(out.Core, out.Sums)
+	out.Redundancy = &redundancy
 	_ = daemon.Office.Learn(value)
 	_, config, _ := daemon.Office.Current()
 	out.Document = config.Whole()
--- /dev/null
+++ b/controlplane/redundancy_test.go
@@ -0,0 +1,45 @@
+package controlplane
+
+import (
+	"reflect"
+	"testing"
+
+	"swifttiller/register"
+)
+
+func coreOf(ids ...string) (core register.Core) {
+	core.Epoch = 1
+	for _, id := range ids {
+		core.Members = append(core.Members, register.Member{ID: id})
+	}
+	return core
+}
+
+// TestRedundancy: an acceptor counts once it holds what a majority of its core holds, in
+// each range.
+func TestRedundancy(t *testing.T) {
+	three := coreOf("a", "b", "c")
+	for name, one := range map[string]struct {
+		core register.Core
+		sums map[string][]string
+		want Redundancy
+	}{
+		"all alike":           {three, map[string][]string{"a": {"1", "2"}, "b": {"1", "2"}, "c": {"1", "2"}}, Redundancy{Whole: 3, Wanted: 3, Losable: 1}},
+		"one silent":          {three, map[string][]string{"a": {"1", "2"}, "b": {"1", "2"}}, Redundancy{Whole: 2, Wanted: 3, Silent: []string{"c"}}},
+		"one behind":          {three, map[string][]string{"a": {"1", "2"}, "b": {"1", "2"}, "c": {"1", "0"}}, Redundancy{Whole: 2, Wanted: 3, Behind: []string{"c"}}},
+		"one empty":           {three, map[string][]string{"a": {"1", "2"}, "b": {"1", "2"}, "c": {}}, Redundancy{Whole: 2, Wanted: 3, Behind: []string{"c"}}},
+		"no majority alike":   {three, map[string][]string{"a": {"1"}, "b": {"2"}, "c": {"3"}}, Redundancy{Wanted: 3, Behind: []string{"a", "b", "c"}}},
+		"strangers don't add": {three, map[string][]string{"a": {"1"}, "x": {"1"}, "y": {"1"}}, Redundancy{Wanted: 3, Behind: []string{"a"}, Silent: []string{"b", "c"}}},
+		"five of seven": {coreOf("a", "b", "c", "d", "e", "f", "g"), map[string][]string{"a": {"1"}, "b": {"1"}, "c": {"1"}, "d": {"1"}, "e": {"1"}, "f": {"0"}},
+			Redundancy{Whole: 5, Wanted: 7, Losable: 1, Behind: []string{"f"}, Silent: []string{"g"}}},
+		"half of four": {coreOf("a", "b", "c", "d"), map[string][]string{"a": {"1"}, "b": {"1"}, "c": {"0"}, "d": {"0"}}, Redundancy{Wanted: 4, Behind: []string{"a", "b", "c", "d"}}},
+	} {
+		got := redundancy(one.core, one.sums)
+		if !reflect.DeepEqual(got, one.want) {
+			t.Errorf("%s: %+v, not %+v", name, got, one.want)
+		}
+		if got.IsWhole() != (len(got.lacking()) == 0) {
+			t.Errorf("%s: whole is %v, lacking %v", name, got.IsWhole(), got.lacking())
+		}
+	}
+}
