--- /dev/null
+++ b/fleet/losses_test.go
@@ -0,0 +1,194 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"swifttiller/controlplane"
+	"swifttiller/fleet"
+)
+
+// ownCore starts a fleet whose control daemons make a core of so many votes by themselves.
+// Where there are more than zones, zones have two or three of them.
+func ownCore(t *testing.T, seed uint64, votes int) *fleet.Park {
+	t.Helper()
+	plan := fleet.Sahayogi()
+	plan.First, plan.Callers = true, nil
+	zones := []string{"east-1", "middle-1", "west-1"}
+	for index := 0; len(plan.Controls) < votes; index++ {
+		plan.Controls = append(plan.Controls, fmt.Sprintf("e%d:%s", index+1, zones[index%len(zones)]))
+	}
+	park := fleet.NewBarePark(seed, plan)
+	if !park.Until(8*time.Second, func() bool { return len(core(park).Members) == votes }) {
+		t.Fatalf("the core is %v", core(park))
+	}
+	park.Plan.First = false
+	if err := park.Apply(&fleet.Facts{}, "c2"); err != nil {
+		t.Fatal("no configuration:", err)
+	}
+	park.Run(5 * time.Second)
+	return park
+}
+
+// isWhole tells whether all of a core of so many votes hold what was decided.
+func isWhole(park *fleet.Park, votes int) bool {
+	for _, name := range running(park) {
+		var status controlplane.Status
+		err := park.Do(name, 5*time.Second, func(daemon *controlplane.Daemon) error {
+			status = daemon.Status()
+			return nil
+		})
+		if err == nil && status.Redundancy != nil {
+			return status.Redundancy.IsWhole() && status.Redundancy.Wanted == votes
+		}
+	}
+	return false
+}
+
+// members are the machines of the core that run, those whose disks have lasted longest first.
+func members(park *fleet.Park, since map[string]time.Duration) (names []string) {
+	for _, member := range core(park).Members {
+		if park.Node(member.Name).Up() {
+			names = append(names, member.Name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if since[a] != since[b] {
+			return int(since[a] - since[b])
+		}
+		return strings.Compare(a, b)
+	})
+	return names
+}
+
+// TestSecondLosses: after a machine was replaced, or came back without its disk, and that
+// machine has had catch_up_s, as many disks may be lost as a majority leaves, while all
+// machines lose power, soon after an order was sent: what was acknowledged stands. The disks
+// that have lasted longest go first, so that in the end no copy is an old one.
+func TestSecondLosses(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		for votes := 3; votes <= 7; votes++ {
+			park := ownCore(t, seed, votes)
+			since := map[string]time.Duration{}
+			acknowledged := serial(park, "c2")
+			for turn := 0; turn < 3; turn++ {
+				first := members(park, since)[0]
+				if turn%2 == 0 {
+					park.Crash(first)
+					park.Run(time.Duration(park.Draw(int64(time.Second))))
+					first = fmt.Sprintf("f%d", turn)
+					park.Place(first, park.Zone(members(park, since)[0]))
+					park.StartControl(first)
+				} else {
+					wipe(park, first)
+				}
+				since[first] = park.Now()
+				if !park.Until(catchUp, func() bool { return park.Votes(first) && isWhole(park, votes) }) {
+					t.Errorf("lost: %d votes, turn %d: %s does not hold all after %v", votes, turn, first, catchUp)
+				}
+				// An order that is acknowledged, another one, and the loss soon after it.
+				list := members(park, since)
+				tolerated := votes - core(park).Majority()
+				if err := park.Apply(&fleet.Facts{}, list[0]); err != nil {
+					t.Fatalf("%d votes, turn %d: %v", votes, turn, err)
+				}
+				acknowledged = max(acknowledged, serial(park, list[0]))
+				last := list[len(list)-1]
+				park.Node(last).Go(func() {
+					if applied, err := park.Controls[last].Evacuate("east-1", turn%2 == 1); err == nil {
+						acknowledged = max(acknowledged, applied.Serial)
+					}
+				})
+				park.Run(time.Duration(5+park.Draw(395)) * time.Millisecond)
+				ends := park.Lose(park.Names())
+				for _, name := range list[:tolerated] {
+					park.Node(name).Disk.Lose()
+					since[name] = park.Now()
+				}
+				park.Return(ends)
+				if !park.Until(12*time.Second, func() bool { return isWhole(park, votes) }) {
+					t.Errorf("lost: %d votes, turn %d: the core is not whole again: %v", votes, turn, core(park))
+				}
+				for _, name := range running(park) {
+					if read := serial(park, name); read < acknowledged {
+						t.Errorf("lost: %d votes, turn %d: acknowledged %d, read back %d at %s", votes, turn, acknowledged, read, name)
+					}
+				}
+			}
+			park.Close()
+		}
+	})
+}
+
+// TestManyChangesLeaveLittleToCatchUp: after hundreds of changes a member that missed a few
+// catches up in time, by what it lacks and not by all that was ever written; until then it
+// confirms nothing; and the disks stay small.
+func TestManyChangesLeaveLittleToCatchUp(t *testing.T) {
+	skipLong(t)
+	const (
+		changes = 600
+		missed  = 30
+		// diskBound is of two slots and two logs, of which one is being cut; the machines
+		// have 128 MB.
+		diskBound = 12 << 20
+	)
+	park := ordering(31)
+	defer park.Close()
+	change := func(label uint64) {
+		if _, err := replace(park, "c1", labelled(park, label, "a"), label-1); err != nil {
+			t.Fatalf("change %d: %v", label, err)
+		}
+	}
+	for label := uint64(1); label <= changes-missed; label++ {
+		change(label)
+	}
+	caughtUp := func(lost bool) (bytes int, took time.Duration) {
+		park.OnBytes = func(_, to, method string, count int) {
+			if to == "c3" && (method == "Register.Fetch" || method == "Register.Install" || method == "Register.Seal") {
+				bytes += count
+			}
+		}
+		defer func() { park.OnBytes = nil }()
+		began := park.Now()
+		if lost {
+			park.Node("c3").Disk.Lose()
+		}
+		park.StartControl("c3")
+		// It answers for the newest, or not at all.
+		for until := park.Now() + 400*time.Millisecond; park.Now() < until; park.Run(20 * time.Millisecond) {
+			var label uint64
+			err := park.Do("c3", 5*time.Second, func(daemon *controlplane.Daemon) (err error) {
+				_, label, err = daemon.Current()
+				return err
+			})
+			if newest, _ := newest(t, park, "c1"); err == nil && label != newest {
+				t.Errorf("old config: %d is shown by who is behind, %d stands", label, newest)
+			}
+		}
+		if !park.Until(catchUp, func() bool { return isWhole(park, 3) }) {
+			t.Errorf("after %v the member does not hold all", catchUp)
+		}
+		return bytes, park.Now() - began
+	}
+	park.Crash("c3")
+	for label := uint64(changes - missed + 1); label <= changes; label++ {
+		change(label)
+	}
+	few, took := caughtUp(false)
+	park.Crash("c3")
+	all, tookAll := caughtUp(true)
+	t.Logf("%d bytes in %v after %d missed changes, %d in %v with an empty disk", few, took, missed, all, tookAll)
+	if few > 60_000 || all > 200_000 {
+		t.Errorf("a member that missed %d changes was brought %d bytes, one with an empty disk %d", missed, few, all)
+	}
+	for _, name := range []string{"c1", "c2", "c3"} {
+		if bytes := park.Node(name).Disk.Bytes(); bytes > diskBound {
+			t.Errorf("%s: %d bytes on disk", name, bytes)
+		} else {
+			t.Logf("%s: %d bytes on disk", name, bytes)
+		}
+	}
+}
--- a/modelcheck/net.go
+++ b/modelcheck/net.go
@@ -36,11 +36,11 @@
 var errSilent = errors.New("modelcheck: no answer in time")
 
 // Call sends a request and waits for its reply.
-func (network network) Call(address, method string, args, reply any, patience time.Duration) error {
+func (network network) Call(address, method string, args, reply any, timeout time.Duration) error {
 	node := network.node
 	box := node.Mailbox().(*mailbox)
 	node.run.send(&message{from: node.name, to: address, method: method, body: encode(args), box: box})
-	got, ok := box.Take(patience)
+	got, ok := box.Take(timeout)
 	if !ok {
 		return &wire.Mishap{Address: address, Method: method, Sent: true, Cause: errSilent}
 	}
--- a/modelcheck/run.go
+++ b/modelcheck/run.go
@@ -132,15 +132,15 @@
 }
 
 // Take waits for a letter.
-func (box *mailbox) Take(patience time.Duration) (any, bool) {
+func (box *mailbox) Take(timeout time.Duration) (any, bool) {
 	run := box.node.run
 	if len(box.letters) == 0 {
-		if patience <= 0 {
+		if timeout <= 0 {
 			return nil, false
 		}
 		one := &task{node: box.node, life: box.life, wake: make(chan struct{}), box: box, deadline: loop.Forever}
-		if patience < loop.Forever-run.now {
-			one.deadline = run.now + patience
+		if timeout < loop.Forever-run.now {
+			one.deadline = run.now + timeout
 		}
 		box.waiter = one
 		run.waiting = append(run.waiting, one)
--- a/modelcheck/worlds.go
+++ b/modelcheck/worlds.go
@@ -12,8 +12,8 @@
 	"swifttiller/register"
 )
 
-// patience of the proposers' operations. Its size plays no role: time passes only by steps.
-const patience = 2 * time.Second
+// timeout of the proposers' operations. Its size plays no role: time passes only by steps.
+const timeout = 2 * time.Second
 
 // key is the register that the worlds write.
 const key = "config"
@@ -133,7 +133,7 @@
 	}
 	client := run.node("init")
 	client.Go(func() {
-		core, err := cluster.keeper("init").Init(names)
+		core, err := cluster.proposer("init").Init(names)
 		if err != nil {
 			panic(err)
 		}
@@ -164,20 +164,20 @@
 // Restart starts the node's acceptor from its disk.
 func (cluster *cluster) Restart(_ *Run, name string) { cluster.open(name) }
 
-// keeper makes a proposer of the node that knows the first core.
-func (cluster *cluster) keeper(name string) *register.Keeper {
+// proposer makes a proposer of the node that knows the first core.
+func (cluster *cluster) proposer(name string) *register.Keeper {
 	one := cluster.run.node(name)
-	keeper := &register.Keeper{Options: register.Options{World: one, Net: network{one}, Self: name, Patience: patience}}
-	keeper.Learn(cluster.core)
-	return keeper
+	proposer := &register.Keeper{Options: register.Options{World: one, Net: network{one}, Self: name, Patience: timeout}}
+	proposer.Learn(cluster.core)
+	return proposer
 }
 
 // client runs the work in a task of the node.
-func (cluster *cluster) client(name string, work func(keeper *register.Keeper)) {
+func (cluster *cluster) client(name string, work func(proposer *register.Keeper)) {
 	cluster.left++
-	keeper := cluster.keeper(name)
+	proposer := cluster.proposer(name)
 	cluster.run.node(name).Go(func() {
-		work(keeper)
+		work(proposer)
 		cluster.left--
 	})
 }
@@ -198,11 +198,11 @@
 }
 
 // append has the proposer append the tag.
-func (cluster *cluster) append(keeper *register.Keeper, tag string) {
+func (cluster *cluster) append(proposer *register.Keeper, tag string) {
 	at := cluster.moment()
 	cluster.unreturned = append(cluster.unreturned, &operation{tag})
 	mine := cluster.unreturned[len(cluster.unreturned)-1]
-	value, err := keeper.Change(key, func(value register.Value) ([]byte, error) {
+	value, err := proposer.Change(key, func(value register.Value) ([]byte, error) {
 		return append(append([]byte{}, value.Data...), tag...), nil
 	})
 	mine.tag = "" // it has returned
@@ -219,18 +219,18 @@
 
 // write has the node append the tags, one after the other.
 func (cluster *cluster) write(name string, tags ...string) {
-	cluster.client(name, func(keeper *register.Keeper) {
+	cluster.client(name, func(proposer *register.Keeper) {
 		for _, tag := range tags {
-			cluster.append(keeper, tag)
+			cluster.append(proposer, tag)
 		}
 	})
 }
 
 func (cluster *cluster) read(name string, times int) {
-	cluster.client(name, func(keeper *register.Keeper) {
+	cluster.client(name, func(proposer *register.Keeper) {
 		for range times {
 			at := cluster.moment()
-			if value, err := keeper.Read(key); err == nil {
+			if value, err := proposer.Read(key); err == nil {
 				cluster.called(operation{}, at, outcome{content: string(value.Data)})
 			}
 		}
@@ -238,9 +238,9 @@
 }
 
 // change replaces a member by a node that has an acceptor of its own.
-func (cluster *cluster) change(keeper *register.Keeper, old, fresh string) error {
+func (cluster *cluster) change(proposer *register.Keeper, old, fresh string) error {
 	newcomer := register.Member{ID: cluster.run.node(fresh).server.(*register.Acceptor).ID(), Address: fresh}
-	_, err := keeper.ChangeCore(func(core register.Core) (members []register.Member, err error) {
+	_, err := proposer.ChangeCore(func(core register.Core) (members []register.Member, err error) {
 		for _, member := range core.Members {
 			if member.Address == old {
 				member = newcomer
@@ -253,13 +253,13 @@
 }
 
 func (cluster *cluster) replace(name, old, fresh string) {
-	cluster.client(name, func(keeper *register.Keeper) { _ = cluster.change(keeper, old, fresh) })
+	cluster.client(name, func(proposer *register.Keeper) { _ = cluster.change(proposer, old, fresh) })
 }
 
 func (cluster *cluster) writeThenReplace(name, tag, old, fresh string) {
-	cluster.client(name, func(keeper *register.Keeper) {
-		cluster.append(keeper, tag)
-		cluster.isReplaced = cluster.change(keeper, old, fresh) == nil
+	cluster.client(name, func(proposer *register.Keeper) {
+		cluster.append(proposer, tag)
+		cluster.isReplaced = cluster.change(proposer, old, fresh) == nil
 	})
 }
 
@@ -300,10 +300,10 @@
 		}
 	}
 	isRead := false
-	cluster.client("auditor", func(keeper *register.Keeper) {
+	cluster.client("auditor", func(proposer *register.Keeper) {
 		for try := 0; try < 20 && !isRead; try++ {
 			at := cluster.moment()
-			if value, err := keeper.Read(key); err == nil {
+			if value, err := proposer.Read(key); err == nil {
 				isRead = true
 				cluster.called(operation{}, at, outcome{content: string(value.Data)})
 			}
--- a/sim/disk.go
+++ b/sim/disk.go
@@ -36,6 +36,14 @@
 // Lose empties the disk, as a replaced one.
 func (disk *Disk) Lose() { disk.files = map[string]*file{} }
 
+// Bytes are those of all files.
+func (disk *Disk) Bytes() (bytes int) {
+	for _, one := range disk.files {
+		bytes += len(one.data)
+	}
+	return bytes
+}
+
 // Take moves another machine's disk to this one; both must be down.
 func (disk *Disk) Take(other *Disk) { disk.files, other.files = other.files, map[string]*file{} }
 
