--- a/docs/words_test.go
+++ b/docs/words_test.go
@@ -34,7 +34,7 @@
 	"doctor":           33,
 	"duty":             12,
 	"execute":          41,
-	"fleet":            507,
+	"fleet":            501,
 	"listing":          2,
 	"loop":             6,
 	"permit":           68,
--- a/fleet/losses_test.go
+++ b/fleet/losses_test.go
@@ -21,23 +21,23 @@
 	for index := 0; len(plan.Controls) < votes; index++ {
 		plan.Controls = append(plan.Controls, fmt.Sprintf("e%d:%s", index+1, zones[index%len(zones)]))
 	}
-	park := fleet.NewBarePark(seed, plan)
-	if !park.Until(8*time.Second, func() bool { return len(core(park).Members) == votes }) {
-		t.Fatalf("the core is %v", core(park))
+	cluster := fleet.NewBarePark(seed, plan)
+	if !cluster.Until(8*time.Second, func() bool { return len(core(cluster).Members) == votes }) {
+		t.Fatalf("the core is %v", core(cluster))
 	}
-	park.Plan.First = false
-	if err := park.Apply(&fleet.Facts{}, "c2"); err != nil {
+	cluster.Plan.First = false
+	if err := cluster.Apply(&fleet.Facts{}, "c2"); err != nil {
 		t.Fatal("no configuration:", err)
 	}
-	park.Run(5 * time.Second)
-	return park
+	cluster.Run(5 * time.Second)
+	return cluster
 }
 
 // isWhole tells whether all of a core of so many votes hold what was decided.
-func isWhole(park *fleet.Park, votes int) bool {
-	for _, name := range running(park) {
+func isWhole(cluster *fleet.Park, votes int) bool {
+	for _, name := range running(cluster) {
 		var status controlplane.Status
-		err := park.Do(name, 5*time.Second, func(daemon *controlplane.Daemon) error {
+		err := cluster.Do(name, 5*time.Second, func(daemon *controlplane.Daemon) error {
 			status = daemon.Status()
 			return nil
 		})
@@ -49,9 +49,9 @@
 }
 
 // members are the machines of the core that run, those whose disks have lasted longest first.
-func members(park *fleet.Park, since map[string]time.Duration) (names []string) {
-	for _, member := range core(park).Members {
-		if park.Node(member.Name).Up() {
+func members(cluster *fleet.Park, since map[string]time.Duration) (names []string) {
+	for _, member := range core(cluster).Members {
+		if cluster.Node(member.Name).Up() {
 			names = append(names, member.Name)
 		}
 	}
@@ -71,54 +71,54 @@
 func TestSecondLosses(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for votes := 3; votes <= 7; votes++ {
-			park := ownCore(t, seed, votes)
+			cluster := ownCore(t, seed, votes)
 			since := map[string]time.Duration{}
-			acknowledged := serial(park, "c2")
+			acknowledged := serial(cluster, "c2")
 			for turn := 0; turn < 3; turn++ {
-				first := members(park, since)[0]
+				first := members(cluster, since)[0]
 				if turn%2 == 0 {
-					park.Crash(first)
-					park.Run(time.Duration(park.Draw(int64(time.Second))))
+					cluster.Crash(first)
+					cluster.Run(time.Duration(cluster.Draw(int64(time.Second))))
 					first = fmt.Sprintf("f%d", turn)
-					park.Place(first, park.Zone(members(park, since)[0]))
-					park.StartControl(first)
+					cluster.Place(first, cluster.Zone(members(cluster, since)[0]))
+					cluster.StartControl(first)
 				} else {
-					wipe(park, first)
+					wipe(cluster, first)
 				}
-				since[first] = park.Now()
-				if !park.Until(catchUp, func() bool { return park.Votes(first) && isWhole(park, votes) }) {
+				since[first] = cluster.Now()
+				if !cluster.Until(catchUp, func() bool { return cluster.Votes(first) && isWhole(cluster, votes) }) {
 					t.Errorf("lost: %d votes, turn %d: %s does not hold all after %v", votes, turn, first, catchUp)
 				}
 				// An order that is acknowledged, another one, and the loss soon after it.
-				list := members(park, since)
-				tolerated := votes - core(park).Majority()
-				if err := park.Apply(&fleet.Facts{}, list[0]); err != nil {
+				list := members(cluster, since)
+				tolerated := votes - core(cluster).Majority()
+				if err := cluster.Apply(&fleet.Facts{}, list[0]); err != nil {
 					t.Fatalf("%d votes, turn %d: %v", votes, turn, err)
 				}
-				acknowledged = max(acknowledged, serial(park, list[0]))
+				acknowledged = max(acknowledged, serial(cluster, list[0]))
 				last := list[len(list)-1]
-				park.Node(last).Go(func() {
-					if applied, err := park.Controls[last].Evacuate("east-1", turn%2 == 1); err == nil {
+				cluster.Node(last).Go(func() {
+					if applied, err := cluster.Controls[last].Evacuate("east-1", turn%2 == 1); err == nil {
 						acknowledged = max(acknowledged, applied.Serial)
 					}
 				})
-				park.Run(time.Duration(5+park.Draw(395)) * time.Millisecond)
-				ends := park.Lose(park.Names())
+				cluster.Run(time.Duration(5+cluster.Draw(395)) * time.Millisecond)
+				ends := cluster.Lose(cluster.Names())
 				for _, name := range list[:tolerated] {
-					park.Node(name).Disk.Lose()
-					since[name] = park.Now()
+					cluster.Node(name).Disk.Lose()
+					since[name] = cluster.Now()
 				}
-				park.Return(ends)
-				if !park.Until(12*time.Second, func() bool { return isWhole(park, votes) }) {
-					t.Errorf("lost: %d votes, turn %d: the core is not whole again: %v", votes, turn, core(park))
+				cluster.Return(ends)
+				if !cluster.Until(12*time.Second, func() bool { return isWhole(cluster, votes) }) {
+					t.Errorf("lost: %d votes, turn %d: the core is not whole again: %v", votes, turn, core(cluster))
 				}
-				for _, name := range running(park) {
-					if read := serial(park, name); read < acknowledged {
+				for _, name := range running(cluster) {
+					if read := serial(cluster, name); read < acknowledged {
 						t.Errorf("lost: %d votes, turn %d: acknowledged %d, read back %d at %s", votes, turn, acknowledged, read, name)
 					}
 				}
 			}
-			park.Close()
+			cluster.Close()
 		}
 	})
 }
@@ -135,10 +135,10 @@
 		// have 128 MB.
 		diskBound = 12 << 20
 	)
-	park := ordering(31)
-	defer park.Close()
+	cluster := ordering(31)
+	defer cluster.Close()
 	change := func(label uint64) {
-		if _, err := replace(park, "c1", labelled(park, label, "a"), label-1); err != nil {
+		if _, err := replace(cluster, "c1", labelled(cluster, label, "a"), label-1); err != nil {
 			t.Fatalf("change %d: %v", label, err)
 		}
 	}
@@ -146,46 +146,46 @@
 		change(label)
 	}
 	caughtUp := func(lost bool) (bytes int, took time.Duration) {
-		park.OnBytes = func(_, to, method string, count int) {
+		cluster.OnBytes = func(_, to, method string, count int) {
 			if to == "c3" && (method == "Register.Fetch" || method == "Register.Install" || method == "Register.Seal") {
 				bytes += count
 			}
 		}
-		defer func() { park.OnBytes = nil }()
-		began := park.Now()
+		defer func() { cluster.OnBytes = nil }()
+		began := cluster.Now()
 		if lost {
-			park.Node("c3").Disk.Lose()
+			cluster.Node("c3").Disk.Lose()
 		}
-		park.StartControl("c3")
+		cluster.StartControl("c3")
 		// It answers for the newest, or not at all.
-		for until := park.Now() + 400*time.Millisecond; park.Now() < until; park.Run(20 * time.Millisecond) {
+		for until := cluster.Now() + 400*time.Millisecond; cluster.Now() < until; cluster.Run(20 * time.Millisecond) {
 			var label uint64
-			err := park.Do("c3", 5*time.Second, func(daemon *controlplane.Daemon) (err error) {
+			err := cluster.Do("c3", 5*time.Second, func(daemon *controlplane.Daemon) (err error) {
 				_, label, err = daemon.Current()
 				return err
 			})
-			if newest, _ := newest(t, park, "c1"); err == nil && label != newest {
+			if newest, _ := newest(t, cluster, "c1"); err == nil && label != newest {
 				t.Errorf("old config: %d is shown by who is behind, %d stands", label, newest)
 			}
 		}
-		if !park.Until(catchUp, func() bool { return isWhole(park, 3) }) {
+		if !cluster.Until(catchUp, func() bool { return isWhole(cluster, 3) }) {
 			t.Errorf("after %v the member does not hold all", catchUp)
 		}
-		return bytes, park.Now() - began
+		return bytes, cluster.Now() - began
 	}
-	park.Crash("c3")
+	cluster.Crash("c3")
 	for label := uint64(changes - missed + 1); label <= changes; label++ {
 		change(label)
 	}
 	few, took := caughtUp(false)
-	park.Crash("c3")
+	cluster.Crash("c3")
 	all, tookAll := caughtUp(true)
 	t.Logf("%d bytes in %v after %d missed changes, %d in %v with an empty disk", few, took, missed, all, tookAll)
 	if few > 60_000 || all > 200_000 {
 		t.Errorf("a member that missed %d changes was brought %d bytes, one with an empty disk %d", missed, few, all)
 	}
 	for _, name := range []string{"c1", "c2", "c3"} {
-		if bytes := park.Node(name).Disk.Bytes(); bytes > diskBound {
+		if bytes := cluster.Node(name).Disk.Bytes(); bytes > diskBound {
 			t.Errorf("%s: %d bytes on disk", name, bytes)
 		} else {
 			t.Logf("%s: %d bytes on disk", name, bytes)
--- a/fleet/order_test.go
+++ b/fleet/order_test.go
@@ -26,17 +26,17 @@
 
 // operatorCalls are all calls of the operator, each of them proper. The document builds on
 // the label that it is given.
-func operatorCalls(park *fleet.Park, label uint64) []operatorCall {
-	zone := park.Zone(park.Plan.Replicas[0].ID)
+func operatorCalls(cluster *fleet.Park, label uint64) []operatorCall {
+	zone := cluster.Zone(cluster.Plan.Replicas[0].ID)
 	return []operatorCall{
 		{"replace", func(daemon *controlplane.Daemon) error {
-			_, err := daemon.Replace(labelled(park, label+1, "minority"), label)
+			_, err := daemon.Replace(labelled(cluster, label+1, "minority"), label)
 			return err
 		}},
 		{"evacuate", func(daemon *controlplane.Daemon) error { _, err := daemon.Evacuate(zone, false); return err }},
 		{"hand back", func(daemon *controlplane.Daemon) error { _, err := daemon.Evacuate(zone, true); return err }},
-		{"begin a roll-out", func(daemon *controlplane.Daemon) error { return daemon.BeginRollout(park.Model, "v2", term) }},
-		{"read a roll-out", func(daemon *controlplane.Daemon) error { _, err := daemon.RolloutState(park.Model); return err }},
+		{"begin a roll-out", func(daemon *controlplane.Daemon) error { return daemon.BeginRollout(cluster.Model, "v2", term) }},
+		{"read a roll-out", func(daemon *controlplane.Daemon) error { _, err := daemon.RolloutState(cluster.Model); return err }},
 		{"read the configuration", func(daemon *controlplane.Daemon) error { _, _, err := daemon.Current(); return err }},
 	}
 }
@@ -48,23 +48,23 @@
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		plan := openPlan("sahayogi")
 		plan.Callers = nil
-		park := fleet.NewPark(seed, plan)
-		defer park.Close()
-		park.Run(4 * time.Second)
-		if _, err := replace(park, "c2", labelled(park, 1, "a"), 0); err != nil {
+		cluster := fleet.NewPark(seed, plan)
+		defer cluster.Close()
+		cluster.Run(4 * time.Second)
+		if _, err := replace(cluster, "c2", labelled(cluster, 1, "a"), 0); err != nil {
 			t.Fatal(err)
 		}
-		cutAt := park.Now()
-		park.Split([]string{"c1"}, []string{"c2", "c3"}, true)
+		cutAt := cluster.Now()
+		cluster.Split([]string{"c1"}, []string{"c2", "c3"}, true)
 		asked := 0
 		for _, since := range []time.Duration{0, 4 * time.Second, 20 * time.Second} {
-			if wait := cutAt + since - park.Now(); wait > 0 {
-				park.Run(wait)
+			if wait := cutAt + since - cluster.Now(); wait > 0 {
+				cluster.Run(wait)
 			}
-			for _, one := range operatorCalls(park, 1) {
-				began := park.Now()
-				err := park.Do("c1", 10*time.Second, one.call)
-				took := park.Now() - began
+			for _, one := range operatorCalls(cluster, 1) {
+				began := cluster.Now()
+				err := cluster.Do("c1", 10*time.Second, one.call)
+				took := cluster.Now() - began
 				if err == nil {
 					t.Errorf("order: %v into the cut: %s: answered without a majority", since, one.name)
 				} else if status := controlplane.Answer(err).Status; status < 500 {
@@ -80,13 +80,13 @@
 			t.Errorf("vacuous: %d calls", asked)
 		}
 		// Meanwhile the others went on; what the cut daemon shows from then on is that.
-		if _, err := replace(park, "c3", labelled(park, 5, "b"), 1); err != nil {
+		if _, err := replace(cluster, "c3", labelled(cluster, 5, "b"), 1); err != nil {
 			t.Fatal("the majority:", err)
 		}
-		park.Split([]string{"c1"}, []string{"c2", "c3"}, false)
-		for until := park.Now() + 5*time.Second; park.Now() < until; park.Run(200 * time.Millisecond) {
+		cluster.Split([]string{"c1"}, []string{"c2", "c3"}, false)
+		for until := cluster.Now() + 5*time.Second; cluster.Now() < until; cluster.Run(200 * time.Millisecond) {
 			var label uint64
-			err := park.Do("c1", 10*time.Second, func(daemon *controlplane.Daemon) (err error) {
+			err := cluster.Do("c1", 10*time.Second, func(daemon *controlplane.Daemon) (err error) {
 				_, label, err = daemon.Current()
 				return err
 			})
@@ -94,7 +94,7 @@
 				t.Errorf("after the cut: %d is shown", label)
 			}
 		}
-		if label, _ := newest(t, park, "c1"); label != 5 {
+		if label, _ := newest(t, cluster, "c1"); label != 5 {
 			t.Errorf("long after the cut: %d is shown", label)
 		}
 	})
@@ -106,40 +106,40 @@
 	frozenFirst := 0 // how often the order was not yet written when the freeze came
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for step := 0; step < 8; step++ {
-			park := ordering(seed)
-			park.Run(4 * time.Second)
-			zone := park.Zone(park.Plan.Replicas[0].ID)
+			cluster := ordering(seed)
+			cluster.Run(4 * time.Second)
+			zone := cluster.Zone(cluster.Plan.Replicas[0].ID)
 			evacuate := func(at string, back bool) error {
-				return park.Do(at, 20*time.Second, func(daemon *controlplane.Daemon) error {
+				return cluster.Do(at, 20*time.Second, func(daemon *controlplane.Daemon) error {
 					_, err := daemon.Evacuate(zone, back)
 					return err
 				})
 			}
 			var late error
 			isOver := false
-			park.Node("c1").Go(func() {
-				_, late = park.Controls["c1"].Evacuate(zone, false)
+			cluster.Node("c1").Go(func() {
+				_, late = cluster.Controls["c1"].Evacuate(zone, false)
 				isOver = true
 			})
-			park.Run(time.Duration(step) * 300 * time.Microsecond)
-			park.Freeze("c1", 1300*time.Millisecond)
+			cluster.Run(time.Duration(step) * 300 * time.Microsecond)
+			cluster.Freeze("c1", 1300*time.Millisecond)
 			if err := evacuate("c2", false); err != nil {
 				t.Fatal("the order at another daemon:", err)
 			}
 			if err := evacuate("c2", true); err != nil {
 				t.Fatal("its opposite:", err)
 			}
-			park.Run(20 * time.Second)
+			cluster.Run(20 * time.Second)
 			if !isOver {
 				t.Errorf("step %d: the late order has no end", step)
 			}
 			if late != nil {
 				frozenFirst++
 			}
-			if _, config := newest(t, park, "c3"); len(config.Evacuated) > 0 {
+			if _, config := newest(t, cluster, "c3"); len(config.Evacuated) > 0 {
 				t.Errorf("order: step %d: the zone is out of service, though it was handed back last (%v)", step, late)
 			}
-			park.Close()
+			cluster.Close()
 		}
 	})
 	t.Cleanup(func() {
@@ -152,18 +152,18 @@
 // TestNothingIsWrittenForACallerThatLeft: an order whose caller has closed its connection
 // before it is written comes to nothing, and says so.
 func TestNothingIsWrittenForACallerThatLeft(t *testing.T) {
-	park := fleet.NewPark(3, func() fleet.Plan { plan := openPlan("sahayogi"); plan.Callers = nil; return plan }())
-	defer park.Close()
-	park.Run(4 * time.Second)
+	cluster := fleet.NewPark(3, func() fleet.Plan { plan := openPlan("sahayogi"); plan.Callers = nil; return plan }())
+	defer cluster.Close()
+	cluster.Run(4 * time.Second)
 	gone := controlplane.Caller{IsGone: func() bool { return true }}
-	zone := park.Zone(park.Plan.Replicas[0].ID)
+	zone := cluster.Zone(cluster.Plan.Replicas[0].ID)
 	for name, order := range map[string]func(daemon *controlplane.Daemon) error{
 		"replace": func(daemon *controlplane.Daemon) error {
-			_, err := daemon.For(gone).Replace(labelled(park, 3, "a"), 0)
+			_, err := daemon.For(gone).Replace(labelled(cluster, 3, "a"), 0)
 			return err
 		},
 		"apply": func(daemon *controlplane.Daemon) error {
-			_, err := daemon.For(gone).Apply(labelled(park, 3, "a"), nil, false)
+			_, err := daemon.For(gone).Apply(labelled(cluster, 3, "a"), nil, false)
 			return err
 		},
 		"evacuate": func(daemon *controlplane.Daemon) error {
@@ -171,16 +171,16 @@
 			return err
 		},
 		"roll-out": func(daemon *controlplane.Daemon) error {
-			return daemon.For(gone).BeginRollout(park.Model, "v2", term)
+			return daemon.For(gone).BeginRollout(cluster.Model, "v2", term)
 		},
 	} {
-		err := park.Do("c1", 10*time.Second, order)
+		err := cluster.Do("c1", 10*time.Second, order)
 		if answer := controlplane.Answer(err); err == nil || answer.Status != 503 || answer.Code != "abandoned" {
 			t.Errorf("order: %s: %v", name, err)
 		}
 	}
 	// One that lies long between its arrival and its carrying out, as in a freeze.
-	if err := park.Do("c1", 10*time.Second, func(daemon *controlplane.Daemon) error {
+	if err := cluster.Do("c1", 10*time.Second, func(daemon *controlplane.Daemon) error {
 		operator := daemon.For(controlplane.Caller{})
 		loop.Sleep(daemon.World, 1100*time.Millisecond)
 		_, err := operator.Evacuate(zone, false)
@@ -188,11 +188,11 @@
 	}); !errors.Is(err, controlplane.ErrAbandoned) {
 		t.Error("order: an old one:", err)
 	}
-	park.Run(3 * time.Second)
-	if label, config := newest(t, park, "c2"); label != 0 || len(config.Evacuated) > 0 {
+	cluster.Run(3 * time.Second)
+	if label, config := newest(t, cluster, "c2"); label != 0 || len(config.Evacuated) > 0 {
 		t.Errorf("order: label %d stands, evacuated %v", label, config.Evacuated)
 	}
-	if state := stands(park); state.State != "" {
+	if state := stands(cluster); state.State != "" {
 		t.Errorf("order: a roll-out is under way: %+v", state)
 	}
 }
@@ -203,54 +203,54 @@
 func TestOrdersAreRememberedThroughManyChanges(t *testing.T) {
 	skipLong(t)
 	const changes = 400
-	park := ordering(21)
-	defer park.Close()
+	cluster := ordering(21)
+	defer cluster.Close()
 	controls := []string{"c1", "c2", "c3"}
 	for label := uint64(1); label <= changes; label++ {
-		if _, err := replace(park, controls[label%3], labelled(park, label, "a"), label-1); err != nil {
+		if _, err := replace(cluster, controls[label%3], labelled(cluster, label, "a"), label-1); err != nil {
 			t.Fatalf("change %d: %v", label, err)
 		}
 		if label == changes/2 {
-			park.Crash("c3")
-			park.Run(time.Second)
-			park.StartControl("c3")
-			park.Run(3 * time.Second)
+			cluster.Crash("c3")
+			cluster.Run(time.Second)
+			cluster.StartControl("c3")
+			cluster.Run(3 * time.Second)
 		}
 	}
-	_, config := newest(t, park, "c1")
+	_, config := newest(t, cluster, "c1")
 	if len(config.Taken) > permit.Remembered+permit.Remembered/2 {
 		t.Errorf("the configuration itself names %d orders", len(config.Taken))
 	}
-	park.Crash("c2")
-	park.Run(time.Second)
-	park.StartControl("c2")
+	cluster.Crash("c2")
+	cluster.Run(time.Second)
+	cluster.StartControl("c2")
 	// It knows nothing of the configuration yet, and must ask.
-	if _, err := replace(park, "c2", labelled(park, changes, "a"), changes-1); err != nil && controlplane.Answer(err).Status < 500 {
+	if _, err := replace(cluster, "c2", labelled(cluster, changes, "a"), changes-1); err != nil && controlplane.Answer(err).Status < 500 {
 		t.Error("order: a repeat at a daemon that has just begun:", err)
 	}
-	park.Run(3 * time.Second)
+	cluster.Run(3 * time.Second)
 	for _, label := range []uint64{1, 2, 31, 32, 33, 64, 65, 200, changes - 100, changes - 65, changes - 1, changes} {
 		for _, at := range controls {
-			if _, err := replace(park, at, labelled(park, label, "a"), label-1); err != nil {
+			if _, err := replace(cluster, at, labelled(cluster, label, "a"), label-1); err != nil {
 				t.Errorf("order: %s: a repeat of %d: %v", at, label, err)
 			}
-			if _, err := replace(park, at, labelled(park, label, "lost"), label-1); label < changes && !isOutdated(err, changes, label-1) {
+			if _, err := replace(cluster, at, labelled(cluster, label, "lost"), label-1); label < changes && !isOutdated(err, changes, label-1) {
 				t.Errorf("order: %s: who lost %d is told: %v", at, label, err)
 			}
 		}
 	}
-	if label, again := newest(t, park, "c3"); label != changes || !slices.Equal(again.Taken, config.Taken) {
+	if label, again := newest(t, cluster, "c3"); label != changes || !slices.Equal(again.Taken, config.Taken) {
 		t.Errorf("repeats changed the configuration: %d stands", label)
 	}
-	once(t, park)
+	once(t, cluster)
 }
 
 // TestHistorySaysWhatItForgot: an order older than all that is remembered gets no clear
 // answer, as nobody can tell whether it was taken.
 func TestHistorySaysWhatItForgot(t *testing.T) {
-	park := ordering(22)
-	defer park.Close()
-	if _, err := replace(park, "c1", labelled(park, 90000, "a"), 0); err != nil {
+	cluster := ordering(22)
+	defer cluster.Close()
+	if _, err := replace(cluster, "c1", labelled(cluster, 90000, "a"), 0); err != nil {
 		t.Fatal(err)
 	}
 	// The registers as they are after so many orders that the first pages were replaced.
@@ -267,11 +267,11 @@
 		})
 		return err
 	}
-	if err := park.Do("c1", 60*time.Second, forget); err != nil {
+	if err := cluster.Do("c1", 60*time.Second, forget); err != nil {
 		t.Fatal(err)
 	}
 	for label, want := range map[uint64]int{102: 503, 103: 409, 200: 409} {
-		_, err := replace(park, "c2", labelled(park, label, "b"), label-1)
+		_, err := replace(cluster, "c2", labelled(cluster, label, "b"), label-1)
 		if got := controlplane.Answer(err).Status; got != want {
 			t.Errorf("order: %d is answered %d (%v), not %d", label, got, err, want)
 		}
