--- a/fleet/operators_test.go
+++ b/fleet/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,7 +153,7 @@
 // under one number at most one is acknowledged, whoever has heard an answer has the truth,
 // and what was acknowledged last stands.
 func TestOperatorsWhoseAnswersAreLost(t *testing.T) {
-	acknowledged, refused := 0, 0
+	var acknowledged, refused atomic.Int64
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		plan := fleet.Sahayogi()
 		plan.First, plan.Callers = true, nil
@@ -199,10 +200,10 @@
 					}
 					byLabel[order.label] = order.mark
 					newest = max(newest, order.label)
-					acknowledged++
+					acknowledged.Add(1)
 				}
 				if order.heard && !order.isTaken {
-					refused++
+					refused.Add(1)
 				}
 			}
 		}
@@ -213,7 +214,7 @@
 		once(t, cluster)
 	})
 	t.Cleanup(func() {
-		if t.Logf("%d acknowledged, %d refused", acknowledged, refused); acknowledged < 50 || refused < 10 {
+		if t.Logf("%d acknowledged, %d refused", acknowledged.Load(), refused.Load()); acknowledged.Load() < 50 || refused.Load() < 10 {
 			t.Error("vacuous")
 		}
 	})
--- a/fleet/order_test.go
+++ b/fleet/order_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,7 +104,7 @@
 // TestAFrozenDaemonWritesNoOldOrder: a control daemon that is frozen while it carries out an
 // order writes nothing of it when it wakes, as the opposite was acknowledged elsewhere since.
 func TestAFrozenDaemonWritesNoOldOrder(t *testing.T) {
-	frozenFirst := 0 // how often the order was not yet written when the freeze came
+	var frozenFirst atomic.Int64 // how often the order was not yet written when the freeze came
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for step := 0; step < 8; step++ {
 			cluster := ordering(seed)
@@ -134,7 +135,7 @@
 				t.Errorf("step %d: the late order has no end", step)
 			}
 			if late != nil {
-				frozenFirst++
+				frozenFirst.Add(1)
 			}
 			if _, config := newest(t, cluster, "c3"); len(config.Evacuated) > 0 {
 				t.Errorf("order: step %d: the zone is out of service, though it was handed back last (%v)", step, late)
@@ -143,7 +144,7 @@
 		}
 	})
 	t.Cleanup(func() {
-		if frozenFirst == 0 {
+		if frozenFirst.Load() == 0 {
 			t.Error("vacuous: each order was written before the freeze")
 		}
 	})
