--- a/controlplane/order.go
+++ b/controlplane/order.go
@@ -130,7 +130,7 @@
 
 // Replace makes a document with a label the configuration, if the current one's label is
 // the expected (0 when there is none), and returns once it is acknowledged. A document
-// that was taken already, as far as the configuration remembers, is acknowledged again,
+// that was taken already, as far as it or the history remembers, is acknowledged again,
 // also when others came since. Errors: settings.Problems, *Outdated, those of the
 // registers; register.ErrUncertain alone leaves open whether it was taken.
 func (operator *Operator) Replace(document []byte, expect uint64) (permit.Applied, error) {
