--- a/modelcheck/explore.go
+++ b/modelcheck/explore.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -244,12 +245,7 @@
 // state sums up all on which the rest of a run depends.
 func (run *Run) state() uint64 {
 	sum := fnv.New64a()
-	names := make([]string, 0, len(run.nodes))
-	for name := range run.nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(run.nodes)) {
 		one := run.nodes[name]
 		fmt.Fprint(sum, name, one.life, " ")
 		if len(one.folder.files) == 0 {
--- a/register/transfer.go
+++ b/register/transfer.go
@@ -4,7 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"maps"
-	"sort"
+	"slices"
 )
 
 // SealAsk closes an epoch at an acceptor in favour of the next core. Have are the marks of
@@ -116,12 +116,7 @@
 		if acceptor.elsewhere(state, look.Epoch, &digests.Vote) {
 			return nil
 		}
-		keys := make([]string, 0, len(state.Cells))
-		for key := range state.Cells {
-			keys = append(keys, key)
-		}
-		sort.Strings(keys)
-		for _, key := range keys {
+		for _, key := range slices.Sorted(maps.Keys(state.Cells)) {
 			cell := state.Cells[key]
 			at := Bucket(key)
 			digests.Sums[at] = sha256.Sum256(fmt.Appendf(digests.Sums[at][:], "%q %d %d %q", key, cell.Accepted.Epoch, cell.Accepted.Round, cell.Accepted.Proposer))
