--- a/cmd/controlplane/tenants.go
+++ b/cmd/controlplane/tenants.go
@@ -77,9 +77,6 @@
 			fmt.Print(", on the way back")
 		}
 	}
-	if one.Get("reads").Bool() {
-		fmt.Print("; goes to readers")
-	}
 	if hot := one.Get("hot").Array(); len(hot) > 0 {
 		fmt.Printf("; %d hot beginnings have several owners", len(hot))
 	}
--- a/controlplane/order.go
+++ b/controlplane/order.go
@@ -89,6 +89,9 @@
 	if len(problems) > 0 {
 		return permit.Applied{}, problems
 	}
+	for _, warning := range tree.Warnings() {
+		daemon.Log.Warn("a document sets what means nothing any more", zap.String("path", warning.Path), zap.String("reason", warning.Reason))
+	}
 	if dry {
 		return permit.Applied{}, nil
 	}
--- a/controlplane/tenants.go
+++ b/controlplane/tenants.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -196,7 +195,6 @@
 func (daemon *Daemon) tenantScene(serial uint64, span time.Duration, tree *settings.Tree, values map[string]register.Value) tenant.Scene {
 	_, config, _ := daemon.Office.Current()
 	grounds := map[string]map[string]tenant.Ground{}
-	share := tree.Limit("reader_share", "")
 	for _, region := range tree.Regions() {
 		value := values[permit.StandingPrefix+region]
 		if value.Serial == 0 {
@@ -221,14 +219,10 @@
 			if engine == nil {
 				continue
 			}
-			ground := tenant.Ground{Replicas: count, Readers: int(math.Round(share * float64(count))), Berths: engine.Berths, Cache: engine.CacheTokens}
-			if tree.Barred(model, region) {
-				ground.Readers = count
-			}
 			if grounds[model] == nil {
 				grounds[model] = map[string]tenant.Ground{}
 			}
-			grounds[model][region] = ground
+			grounds[model][region] = tenant.Ground{Replicas: count, Berths: engine.Berths, Cache: engine.CacheTokens}
 		}
 	}
 	return tenant.Scene{
--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -74,7 +74,7 @@
 	}})
 	daemon.Decider = decide.New(decide.Options{
 		World: options.World, Net: options.Net, Self: daemon.Self(), Began: daemon.began, Quota: daemon.Meter,
-		Holder: func() *permit.View { return daemon.Holder.View() },
+		Holder: func() *permit.View { return daemon.Holder.View() }, Traced: daemon.choices(),
 	})
 	daemon.Holder = permit.NewHolder(permit.HolderOptions{
 		World: options.World, Client: daemon.Client, Self: daemon.Self,
--- a/decide/crowd.go
+++ b/decide/crowd.go
@@ -2,29 +2,25 @@
 
 import "time"
 
-// crowd is what is known to run at replicas that are alike: those of a region that long
-// prompts go to, or the others.
+// crowd is what is known to run at the replicas of a region that may get a request.
 //
 // Invariant: running, waiting and weight are sums over replicas that told their load of
-// late, each by how fresh its word is; least is the emptiest by what this daemon knows.
+// late, each by how fresh its word is.
 type crowd struct {
 	region                   string
-	isReader                 bool
 	running, waiting, weight float64
-	filled, count            float64
-	least                    float64
 }
 
 // crowds are those of one decision.
 type crowds []crowd
 
-func (crowds *crowds) of(region string, isReader bool) *crowd {
+func (crowds *crowds) of(region string) *crowd {
 	for at := range *crowds {
-		if one := &(*crowds)[at]; one.region == region && one.isReader == isReader {
+		if one := &(*crowds)[at]; one.region == region {
 			return one
 		}
 	}
-	*crowds = append(*crowds, crowd{region: region, isReader: isReader, least: 1})
+	*crowds = append(*crowds, crowd{region: region})
 	return &(*crowds)[len(*crowds)-1]
 }
 
@@ -58,17 +54,3 @@
 	}
 	return max(running, float64(engine.running)), waiting
 }
-
-// fill is how full those are that short prompts should go to, as a share of half of their
-// berths: on the average where loads are told, else the emptiest.
-func (crowds crowds) fill(region string) float64 {
-	for at := range crowds {
-		if one := &crowds[at]; one.region == region && !one.isReader {
-			if one.weight > 0 && one.count > 0 {
-				return one.filled / one.count
-			}
-			return one.least
-		}
-	}
-	return 1
-}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,6 +61,7 @@
 	Doubted bool
 
 	routed   *Routed
+	choice   *Choice // nil where nobody asks
 	seat     *engine
 	unread   int
 	sent     time.Duration
@@ -86,6 +87,9 @@
 	Began time.Duration
 	// Quota, if set, counts tenants' requests against their limits.
 	Quota Quota
+	// Traced, if set, gets the choice behind every dispatch of a routed request once that
+	// has ended.
+	Traced func(Choice)
 }
 
 // Quota is asked for each request of a tenant.
@@ -160,9 +164,6 @@
 	readRate float64
 	// base is what the first piece takes whatever the prompt, as learned.
 	base time.Duration
-	// readersBy are the replicas for long prompts, by model, as of the view readersOf.
-	readersOf *permit.View
-	readersBy map[string]map[string]bool
 	// digests are of the standings that were reported on last, by region.
 	digests map[string]*digest
 	// tenants counts what is to be told of heavy tenants.
--- a/decide/engine.go
+++ b/decide/engine.go
@@ -105,15 +105,21 @@
 // lagged is what is left of the lag; it halves each half second, as queues pass.
 func (engine *engine) lagged(now time.Duration) time.Duration {
 	lag := engine.lag
-	for span := now - engine.lagAt; span > 0 && lag > time.Millisecond; span -= lagHalf {
+	for span := now - engine.lagAt; span > 0 && lag >= leastLag; span -= lagHalf {
 		lag /= 2
 	}
+	if lag < leastLag {
+		return 0
+	}
 	return lag
 }
 
 // Constants of the foresight. Rates are tokens in a millisecond.
 const (
 	lagHalf = 500 * time.Millisecond
+	// leastLag is the lag below which a replica is as good as one without any: else each
+	// daemon would stay with the few whose first answers happened to come soonest.
+	leastLag = time.Millisecond
 	// firstRate is what is taken for the rate at which prompts are read until answers
 	// have shown it; it is learned within the bounds.
 	firstRate = 50.0
--- a/fleet/anew_test.go
+++ b/fleet/anew_test.go
@@ -12,6 +12,7 @@
 // every data daemon goes by these 1.7 s after they began, though the list is half a second
 // behind and is asked for once a second in quiet times.
 func TestNewLivesAreKnownSoon(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	worst, sum, count := time.Duration(0), time.Duration(0), 0
 	for seed := uint64(1); seed <= 3; seed++ {
--- a/fleet/bounds_test.go
+++ b/fleet/bounds_test.go
@@ -17,6 +17,7 @@
 // TestBounds prints, for each never-happen rule with a bound, the worst value of a
 // run, over seeds: least, median, most. The checkers judge the runs as well.
 func TestBounds(t *testing.T) {
+	t.Parallel()
 	if *bounds == 0 {
 		t.Skip("only with -bounds")
 	}
--- a/fleet/bytes_test.go
+++ b/fleet/bytes_test.go
@@ -55,6 +55,7 @@
 // grants are short, repairs bring what differs alone, and reads name what is held by marks; a
 // core that changes carries little to who holds it already.
 func TestStartOfAllBytes(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	plan := grown(88, 90, 6)
 	park := distant(1, plan)
--- a/fleet/chatter_test.go
+++ b/fleet/chatter_test.go
@@ -108,6 +108,7 @@
 // TestControlTrafficStaysSmall is the proof of docs/CAPACITY.md's figures of control
 // traffic: what it costs, and how it grows.
 func TestControlTrafficStaysSmall(t *testing.T) {
+	t.Parallel()
 	// From four control daemons on the core has five acceptors, of which a round asks
 	// three: a step, and no slope. So what is compared has the same core.
 	for _, sizes := range [][]size{{{6, 18, 3}, {24, 36, 3}}, {{24, 36, 6}, {88, 90, 6}}} {
@@ -165,6 +166,7 @@
 // TestControlTrafficFollowsNoReplica: between two fleets that differ in replicas alone,
 // hardly anything differs in calm.
 func TestControlTrafficFollowsNoReplica(t *testing.T) {
+	t.Parallel()
 	few, many := listen(1, grown(6, 18, 3)), listen(1, grown(6, 90, 3))
 	t.Logf("18 replicas: %v", few)
 	t.Logf("90 replicas: %v", many)
@@ -176,6 +178,7 @@
 // TestLeavingReplicaIsOutInTime: a replica that the list shows as leaving is out of
 // every data daemon's view within 1.5 s of that.
 func TestLeavingReplicaIsOutInTime(t *testing.T) {
+	t.Parallel()
 	for name, make := range map[string]func() fleet.Plan{"sahayogi": fleet.Sahayogi, "an engine's": func() fleet.Plan { return grown(6, 18, 3) }} {
 		worst := time.Duration(0)
 		for seed := uint64(1); seed <= 4; seed++ {
@@ -220,6 +223,7 @@
 // that at the smallest, for the same core. The time is long enough that all are told the
 // members anew twice, which is what grows.
 func TestControlTrafficIsFlatForADataDaemon(t *testing.T) {
+	t.Parallel()
 	sizes := []size{{6, 36, 3}, {25, 36, 3}, {88, 36, 3}}
 	if testing.Short() {
 		sizes = sizes[:2]
--- a/fleet/checker_test.go
+++ b/fleet/checker_test.go
@@ -13,6 +13,7 @@
 // TestEveryCheckerCanFire breaks one part, or shows one forbidden sight, for
 // each rule; a checker that stays silent is no checker.
 func TestEveryCheckerCanFire(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -120,6 +121,7 @@
 }
 
 func TestFullLoss(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -165,6 +167,7 @@
 // lost, another takes up soon after the rest are back. What was their own before they began
 // anew they take back at once, so only such a duty is waited for.
 func TestFullLossOfAHolder(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for name, plan := range fleet.Plans {
 		t.Run(name, func(t *testing.T) {
@@ -194,6 +197,7 @@
 }
 
 func TestEvacuationDuringRollout(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -221,6 +225,7 @@
 }
 
 func TestFencedOrder(t *testing.T) {
+	t.Parallel()
 	park := fleet.NewPark(10, quick())
 	defer park.Close()
 	park.Run(4 * time.Second)
--- a/fleet/dark_test.go
+++ b/fleet/dark_test.go
@@ -10,6 +10,7 @@
 // TestDarkOnesCostFew: where a third of each region's engines go dark at once, of the requests
 // that may be sent once only few are lost that many data daemons would each send there.
 func TestDarkOnesCostFew(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	lost, asked := 0, 0
 	for seed := uint64(1); seed <= 3; seed++ {
--- a/fleet/days_test.go
+++ b/fleet/days_test.go
@@ -15,6 +15,7 @@
 // TestDays plays days on which mishaps and operators' work overlap, as drawn by the
 // seed, and checks every rule over them. CI plays a few; -days and -seed search.
 func TestDays(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/duel_test.go
+++ b/fleet/duel_test.go
@@ -12,6 +12,7 @@
 // renewed in time while configurations are written one after the other. Control daemons
 // that read what is being written do not outvote its writer, or one another.
 func TestPermitsGoOnThroughChanges(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	const far = 55 * time.Millisecond
 	least := time.Duration(1 << 62)
--- a/fleet/editions_test.go
+++ b/fleet/editions_test.go
@@ -95,6 +95,7 @@
 // TestRouteTravelsAlone: a change of one route or tenant of many costs each data daemon some
 // hundred bytes, however many there are; a daemon that begins anew gets the whole, once.
 func TestRouteTravelsAlone(t *testing.T) {
+	t.Parallel()
 	sizes := []struct{ datas, count int }{{25, 21000}, {88, 1300}, {6, 30}}
 	if testing.Short() {
 		sizes = sizes[2:]
@@ -148,6 +149,7 @@
 // TestFetchTrouble: whatever becomes of an offer or a copy, a change is acknowledged, all
 // go by it, and no two copies of it are under way to a daemon.
 func TestFetchTrouble(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for _, method := range []string{"Permit.Take", "Permit.Fetch"} {
 		for name, fate := range map[string]sim.Fate{"lost": sim.IsLost, "answer lost": sim.AnswerLost, "late": sim.IsLate, "twice": sim.IsRepeated} {
@@ -190,6 +192,7 @@
 // have; the control daemon that they stayed with may have begun anew meanwhile, and then
 // they get the whole.
 func TestFrozenOverChanges(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for name, isAnew := range map[string]bool{"same control daemons": false, "control daemons begun anew": true} {
 		park := routedFleet(22)
@@ -236,6 +239,7 @@
 // TestSpoiledChunk: a daemon whose held chunk is not what it was goes by nothing that is
 // put together with it; it fetches the whole and goes by what was decided.
 func TestSpoiledChunk(t *testing.T) {
+	t.Parallel()
 	park := routedFleet(23)
 	defer park.Close()
 	if _, err := replace(park, "c1", tenants(park.Document, 1, 300, -1), 0); err != nil {
@@ -271,6 +275,7 @@
 // TestFetchStorm: changes that race, evacuations among them, over daemons that come, go
 // and lose packets: nobody goes by a mix or goes back, and at the end all go by the last.
 func TestFetchStorm(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(4)
 	if testing.Short() {
 		seeds = 1
@@ -356,6 +361,7 @@
 // TestStartOfAll: daemons that all begin at once and
 // hear nothing write their records once at each control daemon that they ask.
 func TestStartOfAll(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	plan := grown(24, 18, 3)
 	park := fleet.NewPark(6, plan)
@@ -412,6 +418,7 @@
 // their records in time if all were begun together. Each round that nobody waits for any
 // more would make the others late.
 func TestStartOfAllOnSlowMachines(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	plan := grown(420, 36, 6)
 	park := fleet.NewBarePark(6, plan)
--- a/fleet/emptied_test.go
+++ b/fleet/emptied_test.go
@@ -12,6 +12,7 @@
 // duties lapse and come back, also while their holder waits for what a standing is computed
 // from. No region is shown without replicas for that.
 func TestALapsedDutyEmptiesNoRegion(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	lapses := 0
 	for seed := uint64(1); seed <= 3; seed++ {
--- a/fleet/ends_test.go
+++ b/fleet/ends_test.go
@@ -23,6 +23,7 @@
 // TestSettingsAtTheirEnds: what must never happen does not happen either with any one
 // limit at the least or the most that the checks let an operator set.
 func TestSettingsAtTheirEnds(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/engine_test.go
+++ b/fleet/engine_test.go
@@ -84,6 +84,7 @@
 
 // TestEngine: the stand-in has the properties that it stands in for.
 func TestEngine(t *testing.T) {
+	t.Parallel()
 	plain := func(*EngineOptions) {}
 	reading := func(tokens int) time.Duration {
 		return time.Duration(float64(tokens) / 54.6 * float64(time.Millisecond))
--- a/fleet/experiment_test.go
+++ b/fleet/experiment_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestExperiment(t *testing.T) {
+	t.Parallel()
 	options := fleet.ExperimentOptions{Shape: "small", Load: 1, Seed: 1, Warm: 4 * time.Second, Span: 4 * time.Second}
 	one, err := fleet.Experiment(options)
 	if err != nil {
--- a/fleet/fault_test.go
+++ b/fleet/fault_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestFaultsSingly(t *testing.T) {
+	t.Parallel()
 	for offset := uint64(0); offset < uint64(*seeds); offset++ {
 		for name := range fleet.Plans {
 			for index, fault := range fleet.Faults {
@@ -94,6 +95,7 @@
 // TestFaultsInPairs puts two faults one after another, drawn by the seed. CI runs
 // a few; -seeds and -seed search further.
 func TestFaultsInPairs(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -116,6 +118,7 @@
 // TestSameSeedSameRun: a seed that fails must fail again, so a run may hang on
 // nothing but its seed.
 func TestSameSeedSameRun(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/grey_test.go
+++ b/fleet/grey_test.go
@@ -55,6 +55,7 @@
 // TestPartlyFailing: engines that fail a part of their requests while their probes are
 // answered well are left alone by those whom they fail.
 func TestPartlyFailing(t *testing.T) {
+	t.Parallel()
 	for _, one := range []struct {
 		name string
 		grey fleet.Grey
@@ -91,6 +92,7 @@
 // TestFalseProbes: engines that say that they are ill and serve well stay in use; so do
 // the others when some say that they are well and fail all (TestPartlyFailing).
 func TestFalseProbes(t *testing.T) {
+	t.Parallel()
 	share := partly(t, func(park *fleet.Park, engine *fleet.Engine, _ bool) {
 		engine.SaysIll = fleet.Region(engine.Zone) == park.Shape.Regions[0]
 	})
@@ -120,6 +122,7 @@
 
 // TestProbesWordIsNotEnough: engines that say that they are ill and serve well get requests.
 func TestProbesWordIsNotEnough(t *testing.T) {
+	t.Parallel()
 	last := uint64(8)
 	if testing.Short() {
 		last = 1 // under the race detector, which has one task at a time to look at
@@ -154,6 +157,7 @@
 // TestFlapping: engines that go down and up by turns cost few requests, and are used
 // again once they stay.
 func TestFlapping(t *testing.T) {
+	t.Parallel()
 	park := fleet.NewPark(1, fleet.RoutedShapes["large"].Plan())
 	defer park.Close()
 	park.Run(warmRouted)
--- a/fleet/grown_test.go
+++ b/fleet/grown_test.go
@@ -49,6 +49,7 @@
 // on 88 data daemons; on its way to each of them it is small, and what it was made from
 // stays with the control daemons, which give it back whole.
 func TestGrownConfiguration(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("88 data daemons")
 	}
@@ -98,6 +99,7 @@
 // TestChangesTravelAlone: a replica that goes, and a data daemon that begins anew, cost
 // every other daemon far less than the whole lists; all lists are the same at the end.
 func TestChangesTravelAlone(t *testing.T) {
+	t.Parallel()
 	park := apart(2, grown(24, 90, 6))
 	defer park.Close()
 	granted := func(do func()) (most float64) {
@@ -158,6 +160,7 @@
 // TestNearestControlDaemon: data daemons ask a control daemon of their own zone where
 // there is one, and go back to it after it was gone.
 func TestNearestControlDaemon(t *testing.T) {
+	t.Parallel()
 	plan := grown(12, 18, 6)
 	plan.Document = strings.Replace(plan.Document, `"zones":{"east-1":{}}`, `"zones":{"east-1":{},"east-2":{}}`, 1)
 	plan.Controls[3], plan.Datas[3], plan.Datas[9] = "c4:east-2", "d4:east-2", "d10:east-2"
@@ -192,6 +195,7 @@
 // TestUnprobedRegionStays: a control daemon that takes a region's duty while the region's
 // replicas answer nobody's probes shows no region without replicas.
 func TestUnprobedRegionStays(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 12; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { unprobed(t, seed) })
 	}
@@ -244,6 +248,7 @@
 // TestDimRegionStays: a control daemon that has just taken a region's duty, and whose first
 // probes were answered, shows no region without replicas when the next ones go unanswered.
 func TestDimRegionStays(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for _, answered := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond} {
 		plan := grown(6, 18, 3)
--- a/fleet/handback_test.go
+++ b/fleet/handback_test.go
@@ -11,6 +11,7 @@
 // the configuration, also where whoever writes its region's standing is lost just then; and
 // until it was, and beyond what cold replicas bear after, nothing is sent there.
 func TestHandBackNeedsNoStanding(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for seed := uint64(1); seed <= 4; seed++ {
 		park := fleet.NewPark(seed, fleet.RoutedShapes["large"].Plan())
--- a/fleet/heavy_test.go
+++ b/fleet/heavy_test.go
@@ -27,6 +27,7 @@
 // goes by the acceptors and not by how often, nor by how many, it is read; and one that
 // stays what it was is not sent again when the core changes.
 func TestLongValuesTravelOnce(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("88 data daemons")
 	}
@@ -82,6 +83,7 @@
 // daemons with callers is within 900 bytes a second and data daemon in calm, and within
 // 1,300 while replicas fail and after a region was cut off.
 func TestMishapsTravelSlowly(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("88 data daemons")
 	}
@@ -124,6 +126,7 @@
 // TestStandingStaysOverConfigurations: a configuration that changes nothing of what a
 // region's replicas may get writes no standing anew, for nobody is told one then.
 func TestStandingStaysOverConfigurations(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	park := apart(3, grown(12, 36, 3))
 	defer park.Close()
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -57,6 +57,7 @@
 // daemon's view soon after the platform lists it, at the daemons, too, whose asks for a
 // permit go unanswered just then.
 func TestLeavingIsToldAtOnce(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	park, names := calmGrown(7)
 	defer park.Close()
@@ -103,6 +104,7 @@
 // TestDarkIsToldAtOnce: a replica whose machine goes dark is out of every data daemon's
 // view soon after its region's standing can say so, and in all again once it is back.
 func TestDarkIsToldAtOnce(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	park, names := calmGrown(8)
 	defer park.Close()
@@ -140,6 +142,7 @@
 // notices, the region's standing alone keeps it from a replica that is to end, whether the
 // platform's list or the replica's own probes say so.
 func TestLeavingUntold(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for name, leave := range map[string]func(park *fleet.Park, id string){
 		"by the list":   func(park *fleet.Park, id string) { park.LeaveByPlatform(id) },
--- a/fleet/lives_test.go
+++ b/fleet/lives_test.go
@@ -12,6 +12,7 @@
 // engines under new lives, the data daemons there do not each find out by requests of their
 // own which lives are over: whoever holds the region's duty tells them.
 func TestLivesThatAreOverAreTold(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for seed := uint64(1); seed <= 2; seed++ {
 		shape := fleet.GrownShape
--- a/fleet/loss_test.go
+++ b/fleet/loss_test.go
@@ -42,6 +42,7 @@
 // served in their caller's region are served elsewhere at once, too, though all replicas
 // count as cold for a while and those of a grown fleet bear less than one request a daemon.
 func TestColdFleetServesAllRegions(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	shape := fleet.GrownShape
 	shape.Limits = map[string]float64{"alone_ms": 3600e3}
@@ -66,6 +67,7 @@
 // replicas themselves. Every third engine has become cold meanwhile, and is sent no more than
 // a cold one bears.
 func TestSurgeAfterAPowerCut(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	shape := fleet.GrownShape
 	shape.Busy = 3
--- a/fleet/losses_test.go
+++ b/fleet/losses_test.go
@@ -69,6 +69,7 @@
 // machines lose power, soon after an order was sent: what was acknowledged stands. The disks
 // that have lasted longest go first, so that in the end no copy is an old one.
 func TestSecondLosses(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for votes := 3; votes <= 7; votes++ {
 			cluster := ownCore(t, seed, votes)
@@ -127,6 +128,7 @@
 // catches up in time, by what it lacks and not by all that was ever written; until then it
 // confirms nothing; and the disks stay small.
 func TestManyChangesLeaveLittleToCatchUp(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	const (
 		changes = 600
--- a/fleet/measure_more_test.go
+++ b/fleet/measure_more_test.go
@@ -37,6 +37,7 @@
 // TestMeasureMore prints figures of failure detection, core change and size; it
 // judges nothing.
 func TestMeasureMore(t *testing.T) {
+	t.Parallel()
 	if !*measure {
 		t.Skip("only with -measure")
 	}
--- a/fleet/measure_test.go
+++ b/fleet/measure_test.go
@@ -21,6 +21,7 @@
 
 // TestMeasure prints figures in virtual time or counts; it judges nothing.
 func TestMeasure(t *testing.T) {
+	t.Parallel()
 	if !*measure {
 		t.Skip("only with -measure")
 	}
--- a/fleet/operators_test.go
+++ b/fleet/operators_test.go
@@ -153,6 +153,7 @@
 // under one number at most one is acknowledged, whoever has heard an answer has the truth,
 // and what was acknowledged last stands.
 func TestOperatorsWhoseAnswersAreLost(t *testing.T) {
+	t.Parallel()
 	var acknowledged, refused atomic.Int64
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		plan := fleet.Sahayogi()
--- a/fleet/order_test.go
+++ b/fleet/order_test.go
@@ -46,6 +46,7 @@
 // call of an operator within a second, by a 5xx: it neither refuses nor confirms nor shows
 // what it remembers, at any time of the cut.
 func TestMinorityAnswersAtOnce(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		plan := openPlan("sahayogi")
 		plan.Callers = nil
@@ -104,6 +105,7 @@
 // TestAFrozenDaemonWritesNoOldOrder: a control daemon that is frozen while it carries out an
 // order writes nothing of it when it wakes, as the opposite was acknowledged elsewhere since.
 func TestAFrozenDaemonWritesNoOldOrder(t *testing.T) {
+	t.Parallel()
 	var frozenFirst atomic.Int64 // how often the order was not yet written when the freeze came
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for step := 0; step < 8; step++ {
@@ -153,6 +155,7 @@
 // TestNothingIsWrittenForACallerThatLeft: an order whose caller has closed its connection
 // before it is written comes to nothing, and says so.
 func TestNothingIsWrittenForACallerThatLeft(t *testing.T) {
+	t.Parallel()
 	cluster := fleet.NewPark(3, func() fleet.Plan { plan := openPlan("sahayogi"); plan.Callers = nil; return plan }())
 	defer cluster.Close()
 	cluster.Run(4 * time.Second)
@@ -202,6 +205,7 @@
 // acknowledged again, at each daemon, also one that has just begun; who lost a number is told
 // so as long; and what leases read stays short.
 func TestOrdersAreRememberedThroughManyChanges(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	const changes = 400
 	cluster := ordering(21)
@@ -249,6 +253,7 @@
 // TestHistorySaysWhatItForgot: an order older than all that is remembered gets no clear
 // answer, as nobody can tell whether it was taken.
 func TestHistorySaysWhatItForgot(t *testing.T) {
+	t.Parallel()
 	cluster := ordering(22)
 	defer cluster.Close()
 	if _, err := replace(cluster, "c1", labelled(cluster, 90000, "a"), 0); err != nil {
@@ -282,6 +287,7 @@
 // TestAMinorityDoesNotArchive: orders go on, and are remembered, where a page of the history
 // can't be written for a while.
 func TestAMinorityDoesNotArchive(t *testing.T) {
+	t.Parallel()
 	full := permit.Config{}
 	for label := 1; label <= 2*permit.Remembered; label++ {
 		next, err := full.Take([]byte("{}"), permit.Mark(fmt.Sprintf("%d/x", label)), 0)
--- a/fleet/park_test.go
+++ b/fleet/park_test.go
@@ -35,6 +35,7 @@
 const warm = 15 * time.Second
 
 func TestCalmFleet(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/placement_test.go
+++ b/fleet/placement_test.go
@@ -14,6 +14,7 @@
 // region and at home there only, a zone with a capacity of its own; each served by
 // its own group, and rolled out there alone.
 func TestPlacementsOfSeveralModels(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/points_test.go
+++ b/fleet/points_test.go
@@ -152,6 +152,7 @@
 // it comes late or twice, or its sender or receiver dies, or the process dies at
 // the disk. CI takes a spread-out part; -points 0 takes all.
 func TestNumberedPoints(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/power_test.go
+++ b/fleet/power_test.go
@@ -24,6 +24,7 @@
 // them, and standings that are kept up to date 1.8 s after it; by those before, all
 // replicas count as cold.
 func TestPowerCutStandingsAreKeptSoon(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	worst := time.Duration(0)
 	for seed := uint64(1); seed <= 4; seed++ {
@@ -73,6 +74,7 @@
 // of which one is there a little earlier, do not all ask that one for their permits: it
 // would take them one after the other.
 func TestPowerCutAsksAreSpread(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	for _, earlier := range []time.Duration{0, 150 * time.Millisecond} {
 		t.Run(earlier.String(), func(t *testing.T) { asksAreSpread(t, earlier) })
@@ -127,6 +129,7 @@
 // that take a millisecond for each call, and whose disks take 5 ms, all have permits 1.5 s
 // after the last control daemon: their records are written many at a time.
 func TestPowerCutOfALargeFleet(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	plan := grown(294, 192, 6)
 	plan.Document = strings.Replace(plan.Document, `"limits":{`, `"limits":{"alone_ms":60000,"permit_ms":1800,"session_ms":1200,"platform_ms":1000,"dark_ms":900,"probe_ms":450,`, 1)
--- a/fleet/repeated_test.go
+++ b/fleet/repeated_test.go
@@ -11,6 +11,7 @@
 // not begin to wait anew for a data daemon that is gone; nor may it answer before the
 // permits under the configuration before are over.
 func TestARepeatedOrderIsNotWaitedForAnew(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for _, isCut := range []bool{false, true} {
 			park := selfMade(t, seed, 3)
@@ -59,6 +60,7 @@
 // What a daemon knows to be taken it acknowledges by itself: rounds of its own would outvote
 // the colleague's that carries the same order out.
 func TestARepeatedOrderTakesNoRounds(t *testing.T) {
+	t.Parallel()
 	park := ordering(5)
 	defer park.Close()
 	document := labelled(park, 1, "a")
--- a/fleet/replace_test.go
+++ b/fleet/replace_test.go
@@ -75,6 +75,7 @@
 // TestReplace: a document replaces the one that it builds on, once; a repeat of it is
 // acknowledged at any time and changes nothing.
 func TestReplace(t *testing.T) {
+	t.Parallel()
 	park := ordering(11)
 	defer park.Close()
 	third, fifth := labelled(park, 3, "a"), labelled(park, 5, "a")
@@ -149,6 +150,7 @@
 // no longer where the core can't be read meanwhile. What every holder has taken is not
 // waited for again, though one has gone silent since and its permit still stands.
 func TestAcknowledgedInTime(t *testing.T) {
+	t.Parallel()
 	park := ordering(14)
 	defer park.Close()
 	took := func(at string, label, expect uint64) time.Duration {
@@ -189,6 +191,7 @@
 // TestEvacuationsAgain: an evacuation that stands is acknowledged again without a
 // change, and outlasts configurations.
 func TestEvacuationsAgain(t *testing.T) {
+	t.Parallel()
 	park := ordering(12)
 	defer park.Close()
 	evacuate := func(at, zone string, back bool) (applied permit.Applied, err error) {
@@ -234,6 +237,7 @@
 
 // TestReplaceRace: of two documents that build on the same one, exactly one is taken.
 func TestReplaceRace(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 12; seed++ {
 		park := ordering(seed)
 		errs := [2]error{errors.New("open"), errors.New("open")}
@@ -269,6 +273,7 @@
 // can't tell what became of it; a repeat elsewhere is acknowledged, and the document is taken
 // once.
 func TestReplaceLostAnswer(t *testing.T) {
+	t.Parallel()
 	decided, unwritten, open := 0, 0, 0
 	for seed := uint64(1); seed <= 15; seed++ {
 		park := ordering(seed)
@@ -329,6 +334,7 @@
 // TestReplaceBeneath: a daemon that finds its own change beneath a later one offers the
 // later one's contents under the later one's serial.
 func TestReplaceBeneath(t *testing.T) {
+	t.Parallel()
 	beneath := 0
 	for seed := uint64(1); seed <= 16; seed++ {
 		park := ordering(seed)
@@ -374,6 +380,7 @@
 // TestReplaceStorm: with a change every 80 ms over all daemons and a data daemon that
 // stands still, or is cut off, each is acknowledged within 5 s.
 func TestReplaceStorm(t *testing.T) {
+	t.Parallel()
 	const count = 40
 	for name, hurt := range map[string]func(park *fleet.Park){
 		"calm":   func(*fleet.Park) {},
@@ -457,6 +464,7 @@
 // has not heard of it: no other data daemon fetches there, and it reads the configuration by
 // itself only now and then.
 func TestBegunGoesByTheNewest(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	unknown := 0
 	for seed := uint64(1); seed <= 6; seed++ {
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -69,6 +69,7 @@
 }
 
 func TestRolloutMovesAndIsTakenBack(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -200,6 +201,7 @@
 // seconds after that is plain, no kind of a region gives it more than its small
 // share before its route moved, and the route goes back.
 func TestBadVersions(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -313,6 +315,7 @@
 }
 
 func TestRunnerCrashesAtEveryStep(t *testing.T) {
+	t.Parallel()
 	steps := []string{"validate", "trial-select", "trial-order", "send", "trial-ready", "trial-route", "trial-judge", "order", "ready", "serial", "route", "watch", "live", "standby"}
 	if testing.Short() {
 		steps = steps[4:6]
@@ -363,6 +366,7 @@
 }
 
 func TestPausedRunnerWritesNothing(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -408,6 +412,7 @@
 }
 
 func TestNonces(t *testing.T) {
+	t.Parallel()
 	Convey("a newer schedule makes the older order a no-op", t, func() {
 		park := fleet.NewPark(5, quick())
 		defer park.Close()
@@ -445,6 +450,7 @@
 }
 
 func TestUnloadWaitsForStreams(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -484,6 +490,7 @@
 // TestCalendarsThatJump: a trial and a watch last as long as they should, whatever
 // the calendars say meanwhile; a version is not judged by a clock.
 func TestCalendarsThatJump(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/routed_test.go
+++ b/fleet/routed_test.go
@@ -53,6 +53,7 @@
 
 // TestRoutedCalm: nothing goes wrong where nothing does.
 func TestRoutedCalm(t *testing.T) {
+	t.Parallel()
 	for name := range fleet.RoutedShapes {
 		if testing.Short() && name != "small" {
 			continue // the race detector has one task at a time to look at
@@ -77,6 +78,7 @@
 
 // TestRoutedFaults puts each fault into a fleet of each shape.
 func TestRoutedFaults(t *testing.T) {
+	t.Parallel()
 	for offset := uint64(0); offset < uint64(*seeds); offset++ {
 		for name := range fleet.RoutedShapes {
 			for index, fault := range fleet.RoutedFaults {
@@ -96,6 +98,7 @@
 // TestEveryRoutedCheckerCanFire shows each checker a history with one forbidden sight in
 // it; without that sight none of them says anything.
 func TestEveryRoutedCheckerCanFire(t *testing.T) {
+	t.Parallel()
 	park := fleet.NewPark(3, fleet.RoutedShapes["small"].Tenanted().Plan())
 	defer park.Close()
 	park.Run(warmRouted)
@@ -322,6 +325,7 @@
 
 // TestLyingEngine: an event that is missing in the middle of a stream is seen.
 func TestLyingEngine(t *testing.T) {
+	t.Parallel()
 	plan := fleet.RoutedShapes["small"].Plan()
 	for at := range plan.Engines {
 		plan.Engines[at].Skips = 0.05
--- a/fleet/scale_test.go
+++ b/fleet/scale_test.go
@@ -9,6 +9,7 @@
 
 // TestSlope: a line is found with its spread, and what differs in nothing has none.
 func TestSlope(t *testing.T) {
+	t.Parallel()
 	var points []fleet.ScalePoint
 	for index, off := range []float64{1, -1, -1, 1} {
 		size := fleet.ScaleSize{Datas: 10 * (index + 1)}
@@ -33,6 +34,7 @@
 
 // TestScaleSizes: sizes that can't be started are told before anything is.
 func TestScaleSizes(t *testing.T) {
+	t.Parallel()
 	good := fleet.ScaleSize{Datas: 25, Replicas: 36, Regions: 3, Zones: 6, Routes: 30, Models: 2, Controls: 3}
 	if err := good.Check(); err != nil {
 		t.Error(err)
--- a/fleet/size_test.go
+++ b/fleet/size_test.go
@@ -29,6 +29,7 @@
 // that is answered in the 20 s from ten after any one region was lost, its callers
 // asking elsewhere.
 func TestSize(t *testing.T) {
+	t.Parallel()
 	if !*measure {
 		t.Skip("only with -measure")
 	}
--- a/fleet/split_test.go
+++ b/fleet/split_test.go
@@ -10,6 +10,7 @@
 // A control daemon that has lost the core still answers; data daemons must not
 // stay with it.
 func TestPermitsComeFromWhoeverSeesAMajority(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
--- a/fleet/stop_test.go
+++ b/fleet/stop_test.go
@@ -13,6 +13,7 @@
 // long as they may are served by a daemon that stops, as long as one of them has come within
 // the span that a list may be gone by; and a stop that nobody comes to is short.
 func TestStopServesLateComers(t *testing.T) {
+	t.Parallel()
 	late, lost := 0, 0
 	for seed := uint64(4); seed <= 12; seed++ {
 		plan := fleet.RoutedShapes["small"].Plan()
--- a/fleet/tenants_test.go
+++ b/fleet/tenants_test.go
@@ -97,6 +97,7 @@
 // placement follows within a bound, its shared parts are read again no more than the
 // budget has it, and first tokens come sooner than without.
 func TestTenantMoves(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -212,6 +213,7 @@
 // dropped or run twice, no two placements are in force for longer than the bound, and the
 // move is finished.
 func TestTenantMoveFaults(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -308,6 +310,7 @@
 // TestTenantPins: an operator's pin is obeyed by all data daemons within a permit's
 // length, survives the duty's holder, and is released; what may not be is declined.
 func TestTenantPins(t *testing.T) {
+	t.Parallel()
 	plan := tenantPlan(tenantWindow, tenantAgain)
 	park := fleet.NewPark(7, plan)
 	defer park.Close()
@@ -358,6 +361,7 @@
 // TestTenantsOff: while nobody is to look at tenants nothing is counted, told, written or
 // gone by, and a pin is declined.
 func TestTenantsOff(t *testing.T) {
+	t.Parallel()
 	park := fleet.NewPark(8, fleet.RoutedShapes["small"].Plan())
 	defer park.Close()
 	park.Run(8 * time.Second)
@@ -381,6 +385,7 @@
 // TestManyTenants: 21,000 tenants cost no more bytes than a few: what daemons tell of them
 // is bounded by the sketches.
 func TestManyTenants(t *testing.T) {
+	t.Parallel()
 	shape := fleet.RoutedShapes["small"]
 	shape.Limits = map[string]float64{"tenant_ms": 2000}
 	told := func(tenants int) (data, control float64) {
@@ -430,6 +435,7 @@
 
 // TestTenantLimits: the settings of tenants hold at their ends.
 func TestTenantLimits(t *testing.T) {
+	t.Parallel()
 	for name, bound := range settings.Limits {
 		if !strings.HasPrefix(name, "tenant_") {
 			continue
--- a/fleet/tender_test.go
+++ b/fleet/tender_test.go
@@ -95,6 +95,7 @@
 }
 
 func TestFirstStartNeedsNoOperator(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for votes := 3; votes <= 6; votes += 3 {
 			park := selfMade(t, seed, votes)
@@ -117,6 +118,7 @@
 }
 
 func TestAnEmptyDiskMakesNoCore(t *testing.T) {
+	t.Parallel()
 	plan := fleet.Sahayogi()
 	park := fleet.NewBarePark(1, plan)
 	defer park.Close()
@@ -127,6 +129,7 @@
 }
 
 func TestAWipedDiskAndNoPower(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		park := selfMade(t, seed, 3)
 		defer park.Close()
@@ -154,6 +157,7 @@
 }
 
 func TestAMachineIsReplacedWithoutAnOperator(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for _, votes := range []int{3, 6} {
 			park := selfMade(t, seed, votes)
@@ -212,6 +216,7 @@
 }
 
 func TestMachinesReplacedByOnesThatComeFirst(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for _, votes := range []int{3, 5} {
 			park := selfMade(t, seed, votes)
@@ -280,6 +285,7 @@
 }
 
 func TestTheTenderDiesInAReplacement(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		for at := 0; at < 6; at++ {
 			park := selfMade(t, seed, 3)
@@ -315,6 +321,7 @@
 }
 
 func TestASplitInAReplacement(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		park := selfMade(t, seed, 3)
 		defer park.Close()
@@ -352,6 +359,7 @@
 }
 
 func TestTwoEmptyOfThreeLoseNothing(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		park := selfMade(t, seed, 3)
 		defer park.Close()
@@ -389,6 +397,7 @@
 }
 
 func TestAddressesOfTheCoreChange(t *testing.T) {
+	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		park := selfMade(t, seed, 3)
 		defer park.Close()
--- a/fleet/term_test.go
+++ b/fleet/term_test.go
@@ -190,6 +190,7 @@
 // TestRolloutsUnderATerm: replicas of the version start next to the old ones; a good
 // one is done within the term, a bad one taken back, and its share is bounded.
 func TestRolloutsUnderATerm(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("a long simulation; the race detector has one task at a time to look at")
 	}
@@ -277,6 +278,7 @@
 // TestOpenPlacementServesVersionsAsEquals: replicas replaced one by one with another
 // version get their part without any order.
 func TestOpenPlacementServesVersionsAsEquals(t *testing.T) {
+	t.Parallel()
 	park := fleet.NewPark(2, openPlan("sahayogi"))
 	defer park.Close()
 	park.Run(8 * time.Second)
@@ -312,6 +314,7 @@
 // TestRolloutUnderATermOutlives: whoever is lost at whichever step, the order lasts and
 // ends as it should, and the share stays bounded.
 func TestRolloutUnderATermOutlives(t *testing.T) {
+	t.Parallel()
 	steps := []string{"validate", "ready", "trial-judge", "pass", "agree", "serial", "route", "settle", "live"}
 	if testing.Short() {
 		steps = steps[6:7]
--- a/fleet/way_test.go
+++ b/fleet/way_test.go
@@ -10,6 +10,7 @@
 // TestRegionOutOfReach: where one of the homes of requests that may be sent once only goes
 // dark, the data daemons of a region that is none of them lose few of them there.
 func TestRegionOutOfReach(t *testing.T) {
+	t.Parallel()
 	skipLong(t)
 	lost, declined, asked, inTime := 0, 0, 0, 0
 	for seed := uint64(1); seed <= 2; seed++ {
--- a/settings/process.go
+++ b/settings/process.go
@@ -61,6 +61,9 @@
 	// Count makes calls to other daemons be counted by method, shown with the counters.
 	// It counts at a process's start.
 	Count bool
+	// Choices makes a data daemon log the choice behind every dispatch of a routed request:
+	// a line each, for analysis. It counts at a process's start.
+	Choices bool
 }
 
 var (
@@ -85,6 +88,7 @@
 	set.Int("memory", 0, "MiB of memory that the process may use (0: no limit)")
 	set.Bool("first", false, "the whole system starts for the first time, on empty disks: make the seeds the first core")
 	set.Bool("count", false, "count calls to other daemons and their bytes, shown at /v1/counters")
+	set.Bool("choices", false, "log the choice behind every dispatch of a routed request, for fleet explain")
 	set.String("traces", "", "file that OpenTelemetry JSON traces go to (off when empty)")
 	return path
 }
@@ -101,6 +105,16 @@
 		}
 		process.read(string(data), &problems)
 	}
+	process.overlay(set)
+	process.check(&problems)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return process, nil
+}
+
+// overlay lays the flags that were given over the settings.
+func (process *Process) overlay(set *flag.FlagSet) {
 	set.Visit(func(given *flag.Flag) {
 		value := given.Value.String()
 		switch given.Name {
@@ -114,17 +128,24 @@
 			process.First = value == "true"
 		case "count":
 			process.Count = value == "true"
+		case "choices":
+			process.Choices = value == "true"
 		default:
 			if place := process.place(given.Name); place != nil {
 				*place = value
 			}
 		}
 	})
-	process.check(&problems)
-	if len(problems) > 0 {
-		return nil, problems
-	}
-	return process, nil
+}
+
+// Watching lays those of the given flags over the settings that only say what is logged;
+// they hold also where everything else comes from the machine.
+func (process *Process) Watching(set *flag.FlagSet) {
+	set.Visit(func(given *flag.Flag) {
+		if given.Name == "choices" {
+			process.Choices = given.Value.String() == "true"
+		}
+	})
 }
 
 func (process *Process) place(name string) *string {
@@ -169,7 +190,9 @@
 			process.First = value.Bool()
 		case key.Str == "count" && value.IsBool():
 			process.Count = value.Bool()
-		case key.Str == "first", key.Str == "count":
+		case key.Str == "choices" && value.IsBool():
+			process.Choices = value.Bool()
+		case key.Str == "first", key.Str == "count", key.Str == "choices":
 			problems.add(path, "must be true or false")
 		case key.Str == "seeds" && value.IsArray():
 			for _, seed := range value.Array() {
--- a/settings/routes.go
+++ b/settings/routes.go
@@ -123,23 +123,6 @@
 // Routed tells whether the tree has routes at all.
 func (tree *Tree) Routed() bool { return len(tree.routes) > 0 }
 
-// Barred tells whether some route to the model may not be served in the region.
-func (tree *Tree) Barred(model, region string) bool {
-	for _, list := range tree.routes {
-		for _, route := range list {
-			if route.Within(region) {
-				continue
-			}
-			for _, share := range route.Shares {
-				if share.Model == model {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // Engine is what is known of a model's replicas; nil when the tree does not say.
 func (tree *Tree) Engine(model string) *Engine { return tree.engines[model] }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -54,7 +54,6 @@
 	"far_ms":             {80, 0, 10000, "what the way to another region adds to a first piece"},
 	"far_kb_ms":          {4, 0, 10000, "what a KiB sent to another region is weighed as, in ms of waiting"},
 	"cold_excess":        {1, 0.1, 2, "how much of its cold rate a cold replica is sent by all together, as a ratio"},
-	"reader_share":       {0.7, 0, 1, "which part of a model's replicas long prompts go to"},
 	"again_ms":           {60, 0, 10000, "what a thousand shared tokens read again elsewhere are weighed as, in ms of waiting"},
 	"tenant_ms":          {0, 0, 600000, "how often it is looked whether tenants' sessions have changed and need new placement; 0: never"},
 	"tenant_change":      {0.25, 0.05, 1, "how far a tenant's sessions must have moved to be judged anew, as a share"},
@@ -62,6 +61,12 @@
 	"affinity_slack":     {1.5, 0, 100, "how far above the average load a prompt's own replica may go; 0: prompts have no own replica"},
 }
 
+// Withdrawn are limits of earlier releases, each with why it is no more. A document that
+// sets one is taken, for one release, and the value means nothing.
+var Withdrawn = map[string]string{
+	"reader_share": "long and short prompts go to the same replicas, by the time that each would take there",
+}
+
 var (
 	placementKeys = map[string]gjson.Type{"version": gjson.String, "capacity": gjson.Number, "home": gjson.String}
 	handoverKeys  = map[string]gjson.Type{"automatic": gjson.True}
@@ -94,8 +99,12 @@
 	label    uint64
 
 	isTenanted bool
+	warnings   Problems
 }
 
+// Warnings are what the document sets that means nothing any more, at its paths.
+func (tree *Tree) Warnings() Problems { return tree.warnings }
+
 // parse checks a document in chunks, each of which is JSON. The tree is nil when there
 // are problems.
 func parse(chunks []*Chunk) (*Tree, Problems) {
@@ -208,6 +217,10 @@
 		case "limits":
 			each(value, path, problems, func(name string, value gjson.Result, path string) {
 				bound, known := Limits[name]
+				if reason, isWithdrawn := Withdrawn[name]; isWithdrawn {
+					tree.warnings.add(path, "is a limit no more: %s", reason)
+					return
+				}
 				switch {
 				case !known:
 					problems.add(path, "is no limit")
--- a/tenant/placement.go
+++ b/tenant/placement.go
@@ -31,10 +31,8 @@
 	Moving bool     `json:"moving,omitempty"`
 	Part   int      `json:"part,omitempty"`
 	// Back tells that the move is being taken back.
-	Back bool `json:"back,omitempty"`
-	// Reads sends all its prompts with shared parts to where long ones go.
-	Reads bool     `json:"reads,omitempty"`
-	Hot   []Spread `json:"hot,omitempty"`
+	Back bool     `json:"back,omitempty"`
+	Hot  []Spread `json:"hot,omitempty"`
 	// Pinned ones are an operator's, and stay until released.
 	Pinned bool   `json:"pinned,omitempty"`
 	Reason string `json:"reason,omitempty"`
@@ -42,7 +40,7 @@
 
 // isPlain tells whether it says nothing.
 func (placement Placement) isPlain() bool {
-	return len(placement.Now) == 0 && !placement.Moving && !placement.Reads && len(placement.Hot) == 0 && !placement.Pinned
+	return len(placement.Now) == 0 && !placement.Moving && len(placement.Hot) == 0 && !placement.Pinned
 }
 
 // regions are those by which a beginning goes.
--- a/tenant/plan.go
+++ b/tenant/plan.go
@@ -78,9 +78,9 @@
 	}
 	all := 0
 	for _, one := range plan.scene.Homes(plan.placement.Tenant) {
-		all += plan.grounds()[one].Readers
+		all += plan.grounds()[one].Replicas
 	}
-	return each(float64(plan.grounds()[region].Readers), float64(all))
+	return each(float64(plan.grounds()[region].Replicas), float64(all))
 }
 
 // far is which part of the long requests goes to another region.
@@ -123,14 +123,14 @@
 	if len(regions) == 0 {
 		owners, others := 0, 0.0
 		for _, region := range plan.scene.Homes(plan.placement.Tenant) {
-			owners += plan.grounds()[region].Readers
+			owners += plan.grounds()[region].Replicas
 			others += plan.used[region].reading
 		}
 		return queue(plan.busiest(max(0, plan.profile.Prompt-plan.profile.Shared), others, owners))
 	}
 	all := max(1, plan.profile.Prompt-plan.profile.Shared)
 	for region, one := range loads(plan.profile, regions) {
-		wait += one.reading / all * queue(plan.busiest(one.reading, plan.used[region].reading, plan.grounds()[region].Readers))
+		wait += one.reading / all * queue(plan.busiest(one.reading, plan.used[region].reading, plan.grounds()[region].Replicas))
 	}
 	return wait
 }
@@ -154,10 +154,10 @@
 	for region, more := range loads(plan.profile, regions) {
 		ground, used := plan.grounds()[region], plan.used[region]
 		switch {
-		case ground.Readers == 0,
-			used.berths+more.berths > half*float64(ground.Readers*ground.Berths),
-			ground.Cache > 0 && used.tokens+more.tokens > half*float64(ground.Readers*ground.Cache),
-			plan.busiest(more.reading, used.reading, ground.Readers) > half:
+		case ground.Replicas == 0,
+			used.berths+more.berths > half*float64(ground.Replicas*ground.Berths),
+			ground.Cache > 0 && used.tokens+more.tokens > half*float64(ground.Replicas*ground.Cache),
+			plan.busiest(more.reading, used.reading, ground.Replicas) > half:
 			return false
 		}
 	}
@@ -168,7 +168,7 @@
 func (plan plan) candidates() (out [][]string) {
 	var regions []string
 	for _, region := range plan.scene.Homes(plan.placement.Tenant) {
-		if plan.profile.Share(region) >= regionShare && plan.grounds()[region].Readers > 0 {
+		if plan.profile.Share(region) >= regionShare && plan.grounds()[region].Replicas > 0 {
 			regions = append(regions, region)
 		}
 	}
@@ -206,24 +206,18 @@
 	if next, spread, isBetter := plan.spread(); isBetter {
 		return next, spread
 	}
-	share := each(plan.profile.Long, plan.profile.Keyed)
-	if isMixed := share >= readsFrom && share <= readsAll; isMixed && !have.Reads || have.Reads && share < readsUntil {
-		have.Reads = !have.Reads
-		have.Reason = fmt.Sprintf("%.0f%% of its prompts are long", 100*share)
-		return have, Notice{Tenant: have.Tenant, What: map[bool]string{true: "goes to readers", false: "goes to readers no more"}[have.Reads], Reason: have.Reason, From: have.Now, To: have.Now}
-	}
 	return plan.placement, notice
 }
 
 // spread gives hot beginnings as many owners as their load needs.
 func (plan plan) spread() (Placement, Notice, bool) {
 	have, profile := plan.placement, plan.profile
-	berths, readers := 0, 0
+	berths, replicas := 0, 0
 	for _, region := range plan.scene.Homes(have.Tenant) {
 		berths = max(berths, plan.grounds()[region].Berths)
-		readers += plan.grounds()[region].Readers
+		replicas += plan.grounds()[region].Replicas
 	}
-	if berths == 0 || readers == 0 {
+	if berths == 0 || replicas == 0 {
 		return have, Notice{}, false
 	}
 	own := each(max(0, profile.Prompt-profile.Shared), profile.Rate())
@@ -246,7 +240,7 @@
 	for _, key := range keys {
 		rate := busiest * profile.Hot[key]
 		full := max(rate*each(profile.Held, profile.Ended)/1000/float64(berths), rate*own/readRate)
-		over, before := max(1, min(mostOwners, readers, int(math.Ceil(full/half)))), 1
+		over, before := max(1, min(mostOwners, replicas, int(math.Ceil(full/half)))), 1
 		for _, one := range have.Hot {
 			if one.Key == key {
 				before = one.Over
--- a/tenant/watch.go
+++ b/tenant/watch.go
@@ -43,9 +43,6 @@
 	readRate, mostBusy = 35000.0, 0.95
 	// crowd is what a full replica adds to a first piece, in ms.
 	crowd = 64.0
-	// readsFrom and readsUntil are the shares of long prompts at which a tenant of mixed
-	// lengths goes to readers whole, and no more; above readsAll it does so anyway.
-	readsFrom, readsUntil, readsAll = 0.6, 0.4, 0.95
 	// mostOwners bounds the owners of a hot beginning.
 	mostOwners = 4
 	// blind is for how many turns a new watch notices nothing, as it may not have heard all
@@ -58,9 +55,9 @@
 
 // Ground is what is known of a region's replicas of a model.
 type Ground struct {
-	// Replicas may get requests of the model; Readers are those for long prompts.
-	Replicas, Readers int
-	Berths, Cache     int
+	// Replicas are those that may get requests of the model.
+	Replicas      int
+	Berths, Cache int
 }
 
 // Scene is what a turn is made by.
