--- a/controlplane/region.go
+++ b/controlplane/region.go
@@ -30,6 +30,8 @@
 	// answered is when a probe was last answered; before the first answer, when
 	// the replica came into the table.
 	answered time.Duration
+	// isDark tells that a probe has found it unanswered for dark_ms.
+	isDark   bool
 	leaving  bool
 	unlisted bool
 	// isOver tells that another one answered at its address, so that its life is over,
@@ -376,9 +378,15 @@
 				region.over(permit.Leaver{Replica: one.id, Boot: one.boot(tree)})
 				region.computer.Wake()
 			}
+			if err != nil && one.probed && !one.isDark && region.World.Now()-one.answered >= tree.Span("dark_ms", region.name) {
+				// Data daemons send it requests until a standing without it reaches them.
+				one.isDark = true
+				region.computer.Wake()
+			}
 			if err != nil || asked < one.answered {
 				return
 			}
+			one.isDark = false
 			one.isOver = false
 			if vitals.Ill && !one.wasWell && tallies[one.id].OK == 0 {
 				return // it is not there yet
--- a/decide/route.go
+++ b/decide/route.go
@@ -395,8 +395,10 @@
 // can be reached.
 const nearTry = 100 * time.Millisecond
 
-// successorShare is which part of the price of reading shared parts again their successor pays.
-const successorShare = 0.5
+// successorShare is which part of the price of reading shared parts again their successor pays:
+// less than others, so that all go to the same one, and not so little that they leave an owner
+// that may get them.
+const successorShare = 0.9
 
 // claim marks whose the request's shared parts are among those that may get it now: the
 // first by rendezvous is their owner, the next one their successor. All daemons rank alike, so
@@ -407,11 +409,29 @@
 	if routed.owner == 0 && home == "" {
 		return
 	}
-	var owner, successor *prospect
+	owner, successor := rank(routed, all, home, isNear, func(place *standing.Place) bool { return owns(routed.key, place) })
+	if owner == nil {
+		// Only newcomers may get it.
+		owner, successor = rank(routed, all, home, isNear, func(*standing.Place) bool { return true })
+	}
+	if owner != nil {
+		owner.isOwner = true
+	}
+	if successor != nil {
+		successor.isSuccessor = true
+	}
+}
+
+// rank gives the first two by rendezvous of those that may own the shared parts; nil for
+// none.
+func rank(routed *Routed, all []prospect, home string, isNear, mayOwn func(*standing.Place) bool) (owner, successor *prospect) {
 	var most, next uint64
 	isPlaced := false
 	for at := range all {
 		one := &all[at]
+		if !mayOwn(one.place) {
+			continue
+		}
 		isHome := home != "" && one.place.Region == home
 		if isHome && !isPlaced {
 			isPlaced, owner, successor = true, nil, nil
@@ -426,12 +446,16 @@
 			successor, next = one, score
 		}
 	}
-	if owner != nil {
-		owner.isOwner = true
-	}
-	if successor != nil {
-		successor.isSuccessor = true
+	return owner, successor
+}
+
+// owns tells whether a replica has settled so far that the shared parts of the key may be
+// its own.
+func owns(key uint64, place *standing.Place) bool {
+	if place.Settled >= standing.SettledWhole {
+		return true
 	}
+	return int(slotScore(^key, place)%standing.SettledWhole) < place.Settled
 }
 
 // paced gives how long a replica is to be left alone, as it is cold and this daemon's
@@ -744,21 +768,52 @@
 // learnTokens is how long a prompt must be for its first piece to tell the rate.
 const learnTokens = 2000
 
-// Suspect tells whether the replica of a selection stands out by its mishaps, or has been
-// silent for so long that others should get its requests; it then gets none for a while.
-func (decider *Decider) Suspect(selection *Selection) bool {
+// Suspicion is what speaks against a replica from which a first piece is overdue.
+type Suspicion int
+
+// Suspicions, each worse than the one before it.
+const (
+	// Unsuspected replicas have shown of late that they are alive.
+	Unsuspected Suspicion = iota
+	// Silent ones have told this daemon nothing for longer than it takes. That alone says
+	// little: one daemon of many hears each replica seldom, and one that reads a long prompt
+	// says nothing meanwhile.
+	Silent
+	// Failing ones stand out by their failures, or are silent and in the routing table no
+	// more, or in a region that seems to be out of reach.
+	Failing
+)
+
+// Suspect tells what speaks against the replica of a selection. One that has been silent for
+// so long that others should get its requests gets none for a while.
+func (decider *Decider) Suspect(selection *Selection) Suspicion {
 	now := decider.World.Now()
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
-	standsOut := decider.overdueAt(selection, now)
+	if decider.overdueAt(selection, now) {
+		return Failing
+	}
 	if now-max(seat.silent, seat.vouched) < seat.silence(selection) {
-		return standsOut
+		return Unsuspected
 	}
 	decider.wary = now + warySpan
 	decider.shun(seat, now)
 	decider.missed(seat, now)
-	return true
+	if decider.isDoubted(selection.Region) || !isListed(decider.Holder(), selection) {
+		return Failing
+	}
+	return Silent
+}
+
+// isListed tells whether the life of a selection's replica is in the routing table.
+func isListed(view *permit.View, selection *Selection) bool {
+	for _, place := range view.Standings[selection.Region].Places {
+		if place.ID == selection.Replica {
+			return place.Boot == selection.Boot
+		}
+	}
+	return false
 }
 
 // Flowed notes that a piece of a stream came from the replica of a selection.
@@ -812,6 +867,9 @@
 		selection.seat.flowing--
 	}
 	if bad := badness(mishap, isEmpty); bad > 0 {
+		if mishap.Code == "replica_silent" || mishap.Code == "expired" {
+			bad *= decider.certainty(selection, now)
+		}
 		decider.judgeVitals(selection, bad, now)
 	}
 	if mishap != nil {
--- /dev/null
+++ b/decide/spread_test.go
@@ -0,0 +1,131 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"swifttiller/decide"
+	"swifttiller/loop"
+	"swifttiller/permit"
+	"swifttiller/session"
+	"swifttiller/sim"
+	"swifttiller/standing"
+)
+
+// TestShortPromptsUseAllReplicas: where replicas do not tell their load, the short prompts of a
+// region are spread over all its replicas, whatever long ones these also get.
+func TestShortPromptsUseAllReplicas(t *testing.T) {
+	clinic := newClinic(t, 30, oncePath)
+	clinic.Run(20 * time.Second)
+	most, least := 0, clinic.all
+	for index := range 30 {
+		if region := index % 6; region > 2 {
+			continue // elsewhere
+		}
+		count := len(clinic.sent[fmt.Sprint("i-", index)])
+		most, least = max(most, count), min(least, count)
+	}
+	if least == 0 || most > 4*least {
+		t.Errorf("the busiest of 15 replicas got %d of %d requests, the least busy %d", most, clinic.all, least)
+	}
+}
+
+// TestNewcomersOwnLittle: a replica that has just come owns none of the shared parts that
+// others keep, then a part by each step, and the parts of others do not move meanwhile.
+func TestNewcomersOwnLittle(t *testing.T) {
+	const parts = 400
+	view := routedView(30)
+	newcomer := &view.Standings["a"].Places[0]
+	for _, one := range view.Standings {
+		for at := range one.Places {
+			one.Places[at].Slot, one.Places[at].Settled = at, standing.SettledWhole
+		}
+	}
+	world := sim.New(1)
+	t.Cleanup(world.Close)
+	owners := func(steps int) map[int]string {
+		newcomer.Settled = steps
+		out := map[int]string{}
+		for part := range parts {
+			decider := decide.New(decide.Options{World: world.Node("x"), Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
+			routed := &decide.Routed{ID: "r", Host: "h.example", Path: resumedPath, Tokens: 17020, Most: 48, Expiry: world.Node("x").Now() + time.Minute,
+				Parts: []decide.Part{{ID: uint64(part + 1), Tokens: 13300}, {ID: uint64(1000 + part), Tokens: 3720}}}
+			if mishap := decider.Direct(routed); mishap != nil {
+				t.Fatal(mishap.Code)
+			}
+			selection, mishap := decider.Route(routed, nil)
+			if mishap != nil {
+				t.Fatal(mishap.Code)
+			}
+			out[part] = selection.Replica
+		}
+		return out
+	}
+	world.Start("x", func(node *sim.Node) { loop.Sleep(node, time.Hour) })
+	world.Run(time.Millisecond)
+	count := func(of map[int]string) (sum int) {
+		for _, replica := range of {
+			if replica == newcomer.ID {
+				sum++
+			}
+		}
+		return sum
+	}
+	before := owners(0)
+	if count(before) > 0 {
+		t.Errorf("a newcomer owns %d of %d parts", count(before), parts)
+	}
+	whole := owners(standing.SettledWhole)
+	for step := 1; step <= standing.SettledWhole; step++ {
+		after := owners(step)
+		for part, replica := range after {
+			if replica != before[part] && replica != newcomer.ID {
+				t.Fatalf("part %d went from %s to %s", part, before[part], replica)
+			}
+		}
+		if count(after) < count(before) || count(after) > count(whole) {
+			t.Errorf("after step %d it owns %d parts, %d before, %d in the end", step, count(after), count(before), count(whole))
+		}
+		before = after
+	}
+	if count(whole) < parts/60 {
+		t.Errorf("in the end it owns %d of %d parts", count(whole), parts)
+	}
+}
+
+// TestSilenceAlone: a replica that says nothing is silent, and fails only where something else
+// speaks against it: the routing table has it no more.
+func TestSilenceAlone(t *testing.T) {
+	view := routedView(30)
+	world := sim.New(1)
+	t.Cleanup(world.Close)
+	var suspicions []decide.Suspicion
+	world.Start("x", func(node *sim.Node) {
+		decider := decide.New(decide.Options{World: node, Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
+		routed := &decide.Routed{ID: "r", Host: "h.example", Path: resumedPath, Tokens: 17020, Most: 48, Expiry: node.Now() + time.Minute}
+		if mishap := decider.Direct(routed); mishap != nil {
+			t.Error(mishap.Code)
+			return
+		}
+		selection, mishap := decider.Route(routed, nil)
+		if mishap != nil {
+			t.Error(mishap.Code)
+			return
+		}
+		look := func(span time.Duration) {
+			loop.Sleep(node, span)
+			suspicions = append(suspicions, decider.Suspect(selection))
+		}
+		look(100 * time.Millisecond)
+		look(10 * time.Second)
+		others := *view
+		others.Standings = map[string]standing.Standing{"a": {Region: "a"}}
+		view = &others
+		look(time.Second)
+	})
+	world.Run(20 * time.Second)
+	if want := []decide.Suspicion{decide.Unsuspected, decide.Silent, decide.Failing}; fmt.Sprint(suspicions) != fmt.Sprint(want) {
+		t.Errorf("suspected %v, not %v", suspicions, want)
+	}
+}
--- a/decide/vitals.go
+++ b/decide/vitals.go
@@ -64,6 +64,9 @@
 	slowBad   = 0.4
 	// overdueBad counts one that has no answer when it is overdue.
 	overdueBad = 0.6
+	// unknownShare is which part a late long prompt counts where the replica does not tell its
+	// load: what others sent there may be read before it.
+	unknownShare = 0.5
 	// leastBad is the count of mishaps that weighs nothing any more.
 	leastBad = 0.25
 	// mishapWeight and unsafeWeight are what a sure mishap would weigh in a selection.
@@ -168,7 +171,16 @@
 	if view.Tree == nil || selection.isCold || !selection.seat.isEmpty(view.Tree.Engine(selection.call.Model), now) {
 		return
 	}
-	decider.judgeVitals(selection, bad, now)
+	decider.judgeVitals(selection, bad*decider.certainty(selection, now), now)
+}
+
+// certainty is which part of what a late answer counts against its replica.
+func (decider *Decider) certainty(selection *Selection, now time.Duration) float64 {
+	isTold := selection.seat.loadAt > 0 && now-selection.seat.loadAt < toldSpan
+	if isTold || !decider.isLong(selection.routed) {
+		return 1
+	}
+	return unknownShare
 }
 
 // overdueAt notes once that a request has no answer though it is overdue, and tells
--- a/execute/relay.go
+++ b/execute/relay.go
@@ -49,8 +49,8 @@
 	unheardSpan = 2 * time.Second
 	silentSpan  = 100 * time.Millisecond
 	mostMissed  = 4
-	// muteTimes is how many times overdue a request must be at a replica that answers
-	// others.
+	// muteTimes is how many times overdue a request must be at a replica against which nothing
+	// but its silence speaks.
 	muteTimes = 2
 	// vouchedSpan is for how long a replica that was alive is taken to be so.
 	vouchedSpan = 100 * time.Millisecond
@@ -185,7 +185,7 @@
 	selection, route := passage.selection, passage.routed.Route
 	return func(hasBegun bool) bool {
 		now := passage.executor.World.Now()
-		isSuspect := passage.executor.Decider.Suspect(selection)
+		suspicion := passage.executor.Decider.Suspect(selection)
 		if hasBegun {
 			return route.Resume && route.Gap > 0 && now-passage.heard > gapTimes*route.Gap && passage.mayGoOn()
 		}
@@ -193,7 +193,7 @@
 			return false
 		}
 		overdue := passage.executor.Decider.Overdue(selection)
-		return now-since > overdue && (isSuspect || now-since > muteTimes*overdue)
+		return now-since > overdue && (suspicion == decide.Failing || now-since > muteTimes*overdue)
 	}
 }
 
--- a/scripts/mutants/main.go
+++ b/scripts/mutants/main.go
@@ -10,7 +10,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -20,76 +19,33 @@
 	"strings"
 	"sync"
 	"time"
+
+	"swifttiller/scripts/edits"
 )
 
 // mutant is one guard disabled.
-type mutant struct {
-	name, rule, file, test string
-	old, fresh             string
-}
-
-// parse reads mutants: `key: value` lines, then the old lines after `<<<<`, the
-// new ones after `====`, ended by `>>>>`.
-func parse(text string) (list []mutant, err error) {
-	var one mutant
-	var into *string
-	for number, line := range strings.Split(text, "\n") {
-		key, value, _ := strings.Cut(line, ": ")
-		switch {
-		case line == "<<<<":
-			into = &one.old
-		case line == "====":
-			into = &one.fresh
-		case line == ">>>>":
-			if one.name == "" || one.rule == "" || one.file == "" || one.test == "" || one.old == "" {
-				return nil, fmt.Errorf("line %d: mutant %q lacks something", number+1, one.name)
-			}
-			// The last line may be the beginning of a longer one.
-			one.old, one.fresh = strings.TrimSuffix(one.old, "\n"), strings.TrimSuffix(one.fresh, "\n")
-			list, one, into = append(list, one), mutant{}, nil
-		case into != nil:
-			*into += line + "\n"
-		case line == "" || strings.HasPrefix(line, "#"):
-		case key == "name":
-			one.name = value
-		case key == "rule":
-			one.rule = value
-		case key == "file":
-			one.file = value
-		case key == "test":
-			one.test = value
-		default:
-			return nil, fmt.Errorf("line %d: %q", number+1, line)
-		}
-	}
-	return list, nil
-}
-
-var errUnfit = errors.New("does not fit the code: its old lines must stand there once")
+type mutant = edits.Edit
 
 // try runs the mutant's test over the changed file.
 func try(folder string, one mutant) (killed bool, seen string, err error) {
-	code, err := os.ReadFile(one.file)
+	code, err := one.Apply(".")
 	if err != nil {
 		return false, "", err
 	}
-	if strings.Count(string(code), one.old) != 1 {
-		return false, "", errUnfit
-	}
-	changed := filepath.Join(folder, one.name+".go")
-	overlay := filepath.Join(folder, one.name+".json")
-	whole, err := filepath.Abs(one.file)
+	changed := filepath.Join(folder, one.Name+".go")
+	overlay := filepath.Join(folder, one.Name+".json")
+	whole, err := filepath.Abs(one.File)
 	if err != nil {
 		return false, "", err
 	}
-	if err := os.WriteFile(changed, []byte(strings.Replace(string(code), one.old, one.fresh, 1)), 0o600); err != nil {
+	if err := os.WriteFile(changed, code, 0o600); err != nil {
 		return false, "", err
 	}
 	text, _ := json.Marshal(map[string]map[string]string{"Replace": {whole: changed}})
 	if err := os.WriteFile(overlay, text, 0o600); err != nil {
 		return false, "", err
 	}
-	words := append([]string{"test", "-count=1"}, strings.Fields(one.test)...)
+	words := append([]string{"test", "-count=1"}, strings.Fields(one.Test)...)
 	bound, done := context.WithTimeout(context.Background(), 10*time.Minute)
 	defer done()
 	command := exec.CommandContext(bound, "go", words...)
@@ -99,7 +55,7 @@
 	if bytes.Contains(out, []byte("[build failed]")) || bytes.Contains(out, []byte("no tests to run")) {
 		return false, "", fmt.Errorf("it does not build, or names no test: %s", out[:min(len(out), 600)])
 	}
-	red := regexp.MustCompile(`(?m)^.*\b` + regexp.QuoteMeta(one.rule) + `(: | at ).*$`).FindString(string(out))
+	red := regexp.MustCompile(`(?m)^.*\b` + regexp.QuoteMeta(one.Rule) + `(: | at ).*$`).FindString(string(out))
 	return err != nil && red != "", strings.TrimSpace(red), nil
 }
 
@@ -113,7 +69,7 @@
 		text, err := os.ReadFile(file)
 		if err == nil {
 			var more []mutant
-			more, err = parse(string(text))
+			more, err = edits.Parse(string(text), "rule", "test")
 			list = append(list, more...)
 		}
 		if err != nil {
@@ -132,7 +88,7 @@
 	free := make(chan struct{}, *jobs)
 	killed, survived, unfit := 0, 0, 0
 	for _, one := range list {
-		if !strings.Contains(one.name, *only) {
+		if !strings.Contains(one.Name, *only) {
 			continue
 		}
 		group.Add(1)
@@ -145,13 +101,13 @@
 			switch {
 			case err != nil:
 				unfit++
-				fmt.Printf("UNFIT    %-28s %s: %v\n", one.name, one.rule, err)
+				fmt.Printf("UNFIT    %-28s %s: %v\n", one.Name, one.Rule, err)
 			case isKilled:
 				killed++
-				fmt.Printf("killed   %-28s %s by %s: %s\n", one.name, one.rule, one.test, seen)
+				fmt.Printf("killed   %-28s %s by %s: %s\n", one.Name, one.Rule, one.Test, seen)
 			default:
 				survived++
-				fmt.Printf("SURVIVED %-28s %s under %s\n", one.name, one.rule, one.test)
+				fmt.Printf("SURVIVED %-28s %s under %s\n", one.Name, one.Rule, one.Test)
 			}
 		}()
 	}
--- a/scripts/mutants/main_test.go
+++ b/scripts/mutants/main_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"os"
-	"path/filepath"
-	"strings"
 	"testing"
+
+	"swifttiller/scripts/edits"
 )
 
 // TestMutantsFit: each mutant's old lines stand in its file, once, and each rule
@@ -14,16 +14,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list, err := parse(string(text))
+	list, err := edits.Parse(string(text), "rule", "test")
 	if err != nil {
 		t.Fatal(err)
 	}
 	rules := map[string]int{}
 	for _, one := range list {
-		rules[one.rule]++
-		code, err := os.ReadFile(filepath.Join("..", "..", one.file))
-		if err != nil || strings.Count(string(code), one.old) != 1 {
-			t.Errorf("%s does not fit %s (%v)", one.name, one.file, err)
+		rules[one.Rule]++
+		if _, err := one.Apply("../.."); err != nil {
+			t.Errorf("%s does not fit %s (%v)", one.Name, one.File, err)
 		}
 	}
 	for _, rule := range []string{"twice", "foreign", "lost", "old config", "fallback", "leaving", "bad version", "flooded", "home", "evacuated", "retries", "recovery", "keys", "tenant"} {
@@ -31,7 +30,7 @@
 			t.Errorf("only %d mutants for %q", rules[rule], rule)
 		}
 	}
-	if _, err := parse("name: x\nrule: y\n<<<<\na\n====\nb\n>>>>\n"); err == nil {
+	if _, err := edits.Parse("name: x\nrule: y\n<<<<\na\n====\nb\n>>>>\n", "rule", "test"); err == nil {
 		t.Error("a mutant without file and test was taken")
 	}
 }
