--- a/decide/choice.go
+++ b/decide/choice.go
@@ -36,9 +36,9 @@
 
 // Ranks.
 const (
-	RankOwner Rank = "owner"
-	RankSuccessor  Rank = "successor"
-	RankNone  Rank = "none"
+	RankOwner     Rank = "owner"
+	RankSuccessor Rank = "successor"
+	RankNone      Rank = "none"
 )
 
 // rank is the claim of a prospect.
--- a/decide/owner_test.go
+++ b/decide/owner_test.go
@@ -13,10 +13,10 @@
 	"swifttiller/verdict"
 )
 
-// TestHeirReadsForAll: where the owner of a shared part can't be reached, all daemons send
+// TestSuccessorReadsForAll: where the owner of a shared part can't be reached, all daemons send
 // what has that part to the same other replica, so that it is read again once and not by
 // each daemon elsewhere; once the owner is back, they go to one of the two.
-func TestHeirReadsForAll(t *testing.T) {
+func TestSuccessorReadsForAll(t *testing.T) {
 	world := sim.New(1)
 	t.Cleanup(world.Close)
 	view := routedView(30)
--- /dev/null
+++ b/decide/release.go
@@ -0,0 +1,115 @@
+package decide
+
+import (
+	"time"
+
+	"swifttiller/permit"
+	"swifttiller/replica"
+	"swifttiller/standing"
+	"swifttiller/verdict"
+)
+
+// Ends of dispatches, of either kind.
+
+// dispatched counts a selection that is about to be given out.
+func (decider *Decider) dispatched(view *permit.View, selection *Selection) {
+	decider.occupy(selection, 1)
+	decider.counts.Dispatches++
+	decider.accrue(view, selection)
+	decider.judging.waiting[selection] = decider.World.Now()
+	if selection.Trial {
+		decider.counts.Trials++
+	}
+	if selection.Spill {
+		decider.counts.Spilled++
+	}
+	if selection.Affine {
+		decider.counts.Affine++
+	}
+}
+
+func (decider *Decider) occupy(selection *Selection, sign int) {
+	used := decider.uses[selection.Replica]
+	if used == nil {
+		used = &use{rows: map[standing.Held]int{}}
+		decider.uses[selection.Replica] = used
+	}
+	held := standing.Held{Replica: selection.Replica, Model: selection.call.Model, Version: selection.Version}
+	used.units += sign * selection.Cost
+	used.rows[held] += sign
+	if used.rows[held] == 0 {
+		delete(used.rows, held)
+	}
+	if used.units == 0 && len(used.rows) == 0 {
+		delete(decider.uses, selection.Replica)
+	}
+}
+
+// Release hands a selection back with what became of it. First is the time to the
+// first piece, 0 if there was none.
+func (decider *Decider) Release(selection *Selection, mishap *verdict.Mishap, first time.Duration) {
+	now := decider.World.Now()
+	outcome := standing.Outcome{Replica: selection.Replica, Model: selection.call.Model, Version: selection.Version, Kind: selection.call.Kind, Boot: selection.Boot}
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	switch {
+	case mishap == nil:
+		outcome.OK, outcome.Least = 1, first
+		if first > selection.Allowance+decider.overdue(selection) {
+			outcome.Late = 1
+		}
+		if decider.slow(selection, first-selection.Allowance) {
+			outcome.Slow = 1
+		}
+	case mishap.Code == "caller_gone" && !decider.late(selection, now) || mishap.Code == "no_permit" || mishap.Code == "moved_on" || mishap.Code == "replica_rejected":
+		// Says nothing about the replica.
+	case mishap.Code == replica.AnewCode:
+		decider.past[selection.Replica] = selection.Boot
+	case mishap.Code == "replica_unreached":
+		outcome.Unreached = 1
+	case mishap.Code == "replica_declined":
+		// Only this word is the replica's; 503 may have other reasons.
+		if mishap.ComeBack > 0 {
+			outcome.Full = 1
+		}
+	default:
+		outcome.Mishaps = 1
+	}
+	if mishap != nil && mishap.Verdict == verdict.NotRun {
+		decider.refund(decider.Holder(), selection)
+	}
+	delete(decider.judging.waiting, selection)
+	if outcome.OK > 0 && outcome.Late == 0 && !(selection.Trial && outcome.Slow > 0) {
+		decider.learn(selection, max(0, first-selection.Allowance))
+	}
+	decider.occupy(selection, -1)
+	decider.flow(decider.released, selection.call.Model).add(now, float64(selection.Cost))
+	if outcome.Full > 0 {
+		// Left alone for a tick, in which the standing learns of it too.
+		if view := decider.Holder(); view.Tree != nil {
+			decider.fullUntil[selection.Replica] = now + standing.Tick(view.Tree.Span("permit_ms", ""))
+		}
+	}
+	if mishap != nil && (mishap.Code == "replica_unreached" || mishap.Code == "replica_cut" || mishap.Code == "cut") {
+		if view := decider.Holder(); view.Tree != nil {
+			decider.suspects[selection.Replica] = suspect{now + view.Tree.Span("dark_ms", decider.Self.Zone) + view.Tree.Span("permit_ms", "")/2, selection.Region}
+		}
+	}
+	decider.window.add(now, outcome, selection.Region)
+	for _, one := range decider.queue {
+		one.box.Put(nil)
+	}
+}
+
+// Redispatch tells whether a dispatch that did not run may be tried again; it
+// costs a retry.
+func (decider *Decider) Redispatch() bool {
+	decider.guard.Lock()
+	defer decider.guard.Unlock()
+	view := decider.Holder()
+	if view.Tree == nil || !decider.spend(view, &decider.budget) {
+		return false
+	}
+	decider.counts.Redispatches++
+	return true
+}
--- a/decide/spread_test.go
+++ b/decide/spread_test.go
@@ -51,12 +51,12 @@
 			decider := decide.New(decide.Options{World: world.Node("x"), Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
 			routed := &decide.Routed{ID: "r", Host: "h.example", Path: resumedPath, Tokens: 17020, Most: 48, Expiry: world.Node("x").Now() + time.Minute,
 				Parts: []decide.Part{{ID: uint64(part + 1), Tokens: 13300}, {ID: uint64(1000 + part), Tokens: 3720}}}
-			if mishap := decider.Direct(routed); mishap != nil {
-				t.Fatal(mishap.Code)
+			if failure := decider.Direct(routed); failure != nil {
+				t.Fatal(failure.Code)
 			}
-			selection, mishap := decider.Route(routed, nil)
-			if mishap != nil {
-				t.Fatal(mishap.Code)
+			selection, failure := decider.Route(routed, nil)
+			if failure != nil {
+				t.Fatal(failure.Code)
 			}
 			out[part] = selection.Replica
 		}
@@ -104,13 +104,13 @@
 	world.Start("x", func(node *sim.Node) {
 		decider := decide.New(decide.Options{World: node, Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
 		routed := &decide.Routed{ID: "r", Host: "h.example", Path: resumedPath, Tokens: 17020, Most: 48, Expiry: node.Now() + time.Minute}
-		if mishap := decider.Direct(routed); mishap != nil {
-			t.Error(mishap.Code)
+		if failure := decider.Direct(routed); failure != nil {
+			t.Error(failure.Code)
 			return
 		}
-		selection, mishap := decider.Route(routed, nil)
-		if mishap != nil {
-			t.Error(mishap.Code)
+		selection, failure := decider.Route(routed, nil)
+		if failure != nil {
+			t.Error(failure.Code)
 			return
 		}
 		look := func(span time.Duration) {
--- a/permit/edition_test.go
+++ b/permit/edition_test.go
@@ -185,8 +185,8 @@
 // TestOffersBringSmallEditions: what an evacuation or a small change offers is gone by at once,
 // with nothing fetched; a long one is not brought, nor one against another configuration.
 func TestOffersBringSmallEditions(t *testing.T) {
-	office := learned(t, routed(0, 300, 1), routed(0, 300, 1))
-	edition := office.carried(2)
+	issuer := learned(t, routed(0, 300, 1), routed(0, 300, 1))
+	edition := issuer.carried(2)
 	if edition == nil || edition.Base != 1 {
 		t.Fatalf("an evacuation is not brought: %+v", edition)
 	}
@@ -210,7 +210,7 @@
 	if offer := (Offer{Serial: 2, Edition: edition}); offer.brings(&View{Serial: 7, Tree: tree}) != nil {
 		t.Error("an edition is put together with another configuration than it was told against")
 	}
-	if office.carried(1) != nil {
+	if issuer.carried(1) != nil {
 		t.Error("a configuration that is not the newest is brought")
 	}
 	if big := learned(t, routed(0, 3000, 1), routed(1, 9000, 1)); big.carried(2) != nil {
