--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -151,7 +151,7 @@
 
 func main() {
 	commander := subcommands.NewCommander(flag.CommandLine, "fleet")
-	for _, command := range []subcommands.Command{commander.HelpCommand(), commander.FlagsCommand(), &replicaCommand{}, &platformCommand{}, &callCommand{}, &experimentCommand{}, &scaleCommand{}, &modelCommand{}} {
+	for _, command := range []subcommands.Command{commander.HelpCommand(), commander.FlagsCommand(), &replicaCommand{}, &platformCommand{}, &callCommand{}, &experimentCommand{}, &explainCommand{}, &scaleCommand{}, &modelCommand{}} {
 		commander.Register(command, "")
 	}
 	flag.CommandLine.Usage = func() { commander.Explain(os.Stderr) }
--- a/decide/choice.go
+++ b/decide/choice.go
@@ -7,12 +7,16 @@
 type Choice struct {
 	// Request is the caller's id of the try, Route the name of its route.
 	Request, Route, Model string
-	// Replica is the one that was chosen, Region and Zone where it is.
+	// From is the region of the data daemon that chose. Replica is the one that was chosen,
+	// Region and Zone where it is.
+	From                  string
 	Replica, Region, Zone string
 	// Owner is the replica that should keep the shared parts, empty where nothing is shared
 	// or the owner may not get the request now; Rank tells which claim the chosen one has.
 	Owner string
 	Rank  Rank
+	// Key is what the owner is found by, zero where nothing is shared.
+	Key uint64
 	// Tokens are those of the prompt, Unread those that the replica was taken to have to
 	// read, UnreadShared the part of these that others share.
 	Tokens, Unread, UnreadShared int
@@ -59,7 +63,7 @@
 	}
 	choice := &Choice{
 		Request: routed.ID, Route: routed.Route.Name, Model: routed.Model,
-		Replica: best.row.Replica, Region: best.place.Region, Zone: best.place.Zone, Rank: best.rank(),
+		From: decider.Self.Region, Replica: best.row.Replica, Region: best.place.Region, Zone: best.place.Zone, Rank: best.rank(), Key: routed.key,
 		Tokens: routed.Tokens, Unread: best.unread, UnreadShared: best.unreadShared, Candidates: len(all),
 		Running: best.running, Waiting: best.waiting,
 		Waited: now - routed.Came, Foreseen: best.foreseen, Target: routed.Route.Target,
--- a/scripts/ablations/main.go
+++ b/scripts/ablations/main.go
@@ -160,7 +160,7 @@
 	} else if out.err == nil {
 		out.err = err
 	}
-	if copied, err := exec.Command("sh", "-c", `cd "$1" && cp -n $(git ls-files --others --exclude-standard journal) "$2"`, "sh", clone, journal()).CombinedOutput(); err != nil && out.err == nil {
+	if copied, err := exec.Command("cp", "-rn", filepath.Join(clone, "journal")+"/.", journal()).CombinedOutput(); err != nil && out.err == nil {
 		out.err = fmt.Errorf("the journal entry was not kept: %s", copied)
 	}
 	return out
