--- a/decide/owner.go
+++ b/decide/owner.go
@@ -35,11 +35,7 @@
 	if routed.owner == 0 && home == "" {
 		return
 	}
-	owner, successor := rank(routed, all, home, isNear, func(place *standing.Place) bool { return owns(routed.key, place) })
-	if owner == nil {
-		// Only newcomers may get it.
-		owner, successor = rank(routed, all, home, isNear, func(*standing.Place) bool { return true })
-	}
+	owner, successor := rank(routed, all, home, isNear)
 	if owner != nil {
 		owner.isOwner = true
 	}
@@ -50,14 +46,11 @@
 
 // rank gives the first two by rendezvous of those that may own the shared parts; nil for
 // none.
-func rank(routed *Routed, all []prospect, home string, isNear, mayOwn func(*standing.Place) bool) (owner, successor *prospect) {
+func rank(routed *Routed, all []prospect, home string, isNear func(*standing.Place) bool) (owner, successor *prospect) {
 	var most, next uint64
 	isPlaced := false
 	for at := range all {
 		one := &all[at]
-		if !mayOwn(one.place) {
-			continue
-		}
 		isHome := home != "" && one.place.Region == home
 		if isHome && !isPlaced {
 			isPlaced, owner, successor = true, nil, nil
@@ -75,15 +68,6 @@
 	return owner, successor
 }
 
-// owns tells whether a replica has settled so far that the shared parts of the key may be
-// its own.
-func owns(key uint64, place *standing.Place) bool {
-	if place.Settled >= standing.SettledWhole {
-		return true
-	}
-	return int(slotScore(^key, place)%standing.SettledWhole) < place.Settled
-}
-
 // slotScore is the rendezvous weight of a key at a place's slot.
 func slotScore(key uint64, place *standing.Place) uint64 {
 	return score(key, place.Region+"/"+strconv.Itoa(place.Slot))
--- a/decide/spread_test.go
+++ b/decide/spread_test.go
@@ -31,69 +31,6 @@
 	}
 }
 
-// TestNewcomersOwnLittle: a replica that has just come owns none of the shared parts that
-// others keep, then a part by each step, and the parts of others do not move meanwhile.
-func TestNewcomersOwnLittle(t *testing.T) {
-	const parts = 400
-	view := routedView(30)
-	newcomer := &view.Standings["a"].Places[0]
-	for _, one := range view.Standings {
-		for at := range one.Places {
-			one.Places[at].Slot, one.Places[at].Settled = at, standing.SettledWhole
-		}
-	}
-	world := sim.New(1)
-	t.Cleanup(world.Close)
-	owners := func(steps int) map[int]string {
-		newcomer.Settled = steps
-		out := map[int]string{}
-		for part := range parts {
-			decider := decide.New(decide.Options{World: world.Node("x"), Holder: func() *permit.View { return view }, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
-			routed := &decide.Routed{ID: "r", Host: "h.example", Path: resumedPath, Tokens: 17020, Most: 48, Expiry: world.Node("x").Now() + time.Minute,
-				Parts: []decide.Part{{ID: uint64(part + 1), Tokens: 13300}, {ID: uint64(1000 + part), Tokens: 3720}}}
-			if failure := decider.Direct(routed); failure != nil {
-				t.Fatal(failure.Code)
-			}
-			selection, failure := decider.Route(routed, nil)
-			if failure != nil {
-				t.Fatal(failure.Code)
-			}
-			out[part] = selection.Replica
-		}
-		return out
-	}
-	world.Start("x", func(node *sim.Node) { loop.Sleep(node, time.Hour) })
-	world.Run(time.Millisecond)
-	count := func(of map[int]string) (sum int) {
-		for _, replica := range of {
-			if replica == newcomer.ID {
-				sum++
-			}
-		}
-		return sum
-	}
-	before := owners(0)
-	if count(before) > 0 {
-		t.Errorf("a newcomer owns %d of %d parts", count(before), parts)
-	}
-	whole := owners(standing.SettledWhole)
-	for step := 1; step <= standing.SettledWhole; step++ {
-		after := owners(step)
-		for part, replica := range after {
-			if replica != before[part] && replica != newcomer.ID {
-				t.Fatalf("part %d went from %s to %s", part, before[part], replica)
-			}
-		}
-		if count(after) < count(before) || count(after) > count(whole) {
-			t.Errorf("after step %d it owns %d parts, %d before, %d in the end", step, count(after), count(before), count(whole))
-		}
-		before = after
-	}
-	if count(whole) < parts/60 {
-		t.Errorf("in the end it owns %d of %d parts", count(whole), parts)
-	}
-}
-
 // TestSilenceAlone: a replica that says nothing is silent, and fails only where something else
 // speaks against it: the routing table has it no more.
 func TestSilenceAlone(t *testing.T) {
--- a/permit/office.go
+++ b/permit/office.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -173,6 +174,8 @@
 	// retiring is since when a holder has been without a session.
 	retiring map[string]time.Duration
 	granted  uint64
+	// holderKeys are the keys of the holders that were there the last time.
+	holderKeys []string
 	// acknowledged is the highest serial that was acknowledged here, which acknowledges
 	// all before it.
 	acknowledged uint64
@@ -626,16 +629,57 @@
 	return names
 }
 
-// Holders reads the records of all holders, retired ones too.
+// Holders reads the records of all holders, retired ones too. Those that were there the last
+// time are read while it is asked which there are: an order's acknowledgement waits for it.
+//
+// Invariant: whatever it gives was listed, and read, after it was called.
 func (office *Office) Holders() (map[string]Record, error) {
-	keys, err := office.Keeper.List(HolderPrefix)
-	if err != nil || len(keys) == 0 {
-		return nil, err
+	type part struct {
+		keys   []string
+		values map[string]register.Value
+		err    error
 	}
-	values, err := office.Keeper.ReadMany(keys...)
-	if err != nil {
-		return nil, err
+	office.guard.Lock()
+	known := office.holderKeys
+	office.guard.Unlock()
+	var listed, early part
+	loop.Gather(office.World, 2, loop.Forever, func(index int) (out part) {
+		if index == 0 {
+			out.keys, out.err = office.Keeper.List(HolderPrefix)
+		} else if len(known) > 0 {
+			out.values, out.err = office.Keeper.ReadMany(known...)
+		}
+		return out
+	}, func(index int, out part) bool {
+		if index == 0 {
+			listed = out
+		} else {
+			early = out
+		}
+		return false
+	})
+	if listed.err != nil || len(listed.keys) == 0 {
+		return nil, listed.err
+	}
+	values := map[string]register.Value{}
+	var missing []string
+	for _, key := range listed.keys {
+		if value, isRead := early.values[key]; isRead {
+			values[key] = value
+		} else {
+			missing = append(missing, key)
+		}
 	}
+	if len(missing) > 0 {
+		more, err := office.Keeper.ReadMany(missing...)
+		if err != nil {
+			return nil, err
+		}
+		maps.Copy(values, more)
+	}
+	office.guard.Lock()
+	office.holderKeys = listed.keys
+	office.guard.Unlock()
 	holders := map[string]Record{}
 	for key, value := range values {
 		var record Record
--- a/standing/deal.go
+++ b/standing/deal.go
@@ -296,8 +296,6 @@
 			return "credits"
 		case (x.Warm == 1) != (y.Warm == 1):
 			return "warmth"
-		case x.Settled != y.Settled:
-			return "settled"
 		}
 	}
 	return ""
--- a/standing/tables.go
+++ b/standing/tables.go
@@ -203,9 +203,6 @@
 	// Slot is the number that the replica has among its region's: its own as long as it
 	// is listed, then the next newcomer's. What goes by it moves no more than it must.
 	Slot int
-	// Settled is which part of the shared prompt parts that fall to its slot it owns, in steps
-	// up to SettledWhole: a newcomer takes them over little by little, as each is read again.
-	Settled int
 	// InForce are older credits that their holders may still act on.
 	InForce map[string]int
 	Slow    bool
@@ -225,9 +222,6 @@
 	Failed []Held
 	Rows   []Row
 	Places []Place
-	// Age is for how long the region has had standings, by their writers' clocks; newcomers
-	// settle by it.
-	Age time.Duration
 	// Warmth remembers replicas that get nothing now, by id and boot, so that
 	// one that was only out of sight does not count as cold.
 	Warmth map[string]float64
@@ -292,7 +286,6 @@
 	}
 	out.Failed = failed(input)
 	number(input, replicas, &out)
-	settle(input, &out)
 	deal(input, &out)
 	return out
 }
