A repeated evacuation is acknowledged by a read where a majority has it already

Change: where the daemon's own configuration says it already, a majority is read; nothing is written.

--- a/permit/office.go
+++ b/permit/office.go
@@ -456,6 +456,29 @@
 	return office.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse)), true
 }
 
+// Stands acknowledges what a configuration says already, if the one that a majority has does.
+// It reads and writes nothing: an order that comes again does not outvote those that are under
+// way. isSo false tells nothing but that a change is needed; the error is that of the read.
+//
+// Invariant: what it acknowledges was in force after it was called.
+func (issuer *Office) Stands(says func(Config) bool) (applied Applied, isSo bool, err error) {
+	if _, config, tree := issuer.Current(); tree == nil || !says(config) {
+		return Applied{}, false, nil // the order is new, as far as is known here
+	}
+	if err := issuer.Refresh(); err != nil {
+		return Applied{}, false, err
+	}
+	serial, config, tree := issuer.Current()
+	if !says(config) {
+		return Applied{}, false, nil
+	}
+	since, lapse, isKnown := issuer.since(serial)
+	if !isKnown {
+		return Applied{}, false, nil // it changes just now
+	}
+	return issuer.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse)), true, nil
+}
+
 // Applied is how a configuration came to be acknowledged.
 type Applied struct {
 	Serial  uint64        `json:"serial"`
