A disk that takes writes again is voted on again, without a start

Cause: a store that failed once wrote nothing until its process began anew. Change: half a second later the whole value goes into the other slot, with a new log. A line of a register test held the old way; it is replaced by one that also looks behind a start.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -76,8 +76,12 @@
 	return fmt.Sprintf("disk: %s: %s; this disk's memory can't be trusted: move the data folder away, start anew, and let the core admit the new acceptor", corrupt.File, corrupt.Reason)
 }
 
-// ErrBroken is every answer after a write or sync has failed.
-var ErrBroken = errors.New("disk: a write or sync failed; nothing is assumed to have lasted until the process starts anew")
+// ErrBroken is every answer after a write or sync has failed, until a whole copy was written
+// anew.
+var ErrBroken = errors.New("disk: a write or sync failed; nothing is assumed to have lasted until the whole has been written anew")
+
+// mendGap is how long tries to write the whole anew are apart.
+const mendGap = 500 * time.Millisecond
 
 const (
 	slotMagic   = 0x53574c54
@@ -95,6 +99,9 @@
 	// Records must be such that replaying any of them onto it in order ends at
 	// the same value.
 	Snapshot func() []byte
+	// Folded, if set, is told that what Snapshot gave last has become durable. The writing
+	// task calls it, before any later record is written.
+	Folded func()
 }
 
 // Store is the two slots and the logs between.
@@ -106,7 +113,9 @@
 //   - a log g is only opened after slot g has been synced, so a log newer than
 //     every good slot means that a slot went bad.
 //   - synced is never above queued; Append returns only once its record is
-//     synced. After broken is set nothing is written any more.
+//     synced. After broken is set nothing is written to that log any more: what
+//     it holds behind the last good record was never answered for. The first
+//     write after it is the whole value, into the other slot, with a new log.
 type Store struct {
 	Options
 	guard      sync.Mutex
@@ -118,6 +127,7 @@
 	waiters    []loop.Mailbox
 	writing    bool
 	broken     error
+	tried      time.Duration // when it was last tried to mend what is broken
 	lastSync   time.Duration
 	syncs      atomic.Uint64
 	torn       bool
@@ -274,7 +284,7 @@
 	box := store.World.Mailbox()
 	store.guard.Lock()
 	defer store.guard.Unlock()
-	if store.broken != nil {
+	if store.broken != nil && store.World.Now()-store.tried < mendGap {
 		err := store.broken
 		return func() error { return err }
 	}
@@ -306,15 +316,19 @@
 			return
 		}
 		err := store.broken
+		isBroken := err != nil
 		store.guard.Unlock()
 		began := store.World.Now()
+		if isBroken {
+			err = store.mend(err)
+		}
 		if err == nil {
 			err = store.write(batch)
 		}
 		store.guard.Lock()
 		store.lastSync = store.World.Now() - began
 		if err != nil && store.broken == nil {
-			store.broken = fmt.Errorf("%w (%v)", ErrBroken, err)
+			store.broken, store.tried = fmt.Errorf("%w (%v)", ErrBroken, err), store.World.Now()
 		}
 		err = store.broken
 		store.guard.Unlock()
@@ -324,6 +338,24 @@
 	}
 }
 
+// mend tries to write the whole anew; what was broken is returned where that fails too, or
+// where it was tried a short while ago.
+func (store *Store) mend(broken error) error {
+	store.guard.Lock()
+	isDue := store.World.Now()-store.tried >= mendGap
+	if isDue {
+		store.tried = store.World.Now()
+	}
+	store.guard.Unlock()
+	if !isDue || store.Fold() != nil {
+		return broken
+	}
+	store.guard.Lock()
+	defer store.guard.Unlock()
+	store.broken = nil
+	return nil
+}
+
 // write makes a batch last. A batch of nothing but barriers writes nothing.
 func (store *Store) write(batch [][]byte) error {
 	if store.length > store.LogBytes {
@@ -377,7 +409,13 @@
 	if old != nil {
 		old.Close()
 	}
-	return store.begin()
+	if err := store.begin(); err != nil {
+		return err
+	}
+	if store.Folded != nil {
+		store.Folded()
+	}
+	return nil
 }
 
 // Vitals is what the doctor asks of a store.
--- a/doctor/doctor.go
+++ b/doctor/doctor.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		if about.Disk.Broken != "" {
-			exam.find("disk does not keep", Critical, "free or replace the disk and start the daemon anew; it does not vote until then", "%s: %s", name, about.Disk.Broken)
+			exam.find("disk does not keep", Critical, "free or replace the disk; the daemon votes again half a second after it takes writes", "%s: %s", name, about.Disk.Broken)
 		}
 		if about.Disk.LastSync > slowSync {
 			exam.find("slow disk", Warning, "move the data folder to a faster disk; only this acceptor's vote is late", "%s: the last sync took %v", name, about.Disk.LastSync.Round(time.Millisecond))
--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -35,6 +35,8 @@
 	Cell   Cell
 	Whole  *state `json:",omitempty"`
 	before Cell   // the cell that this one replaces; not written
+	// snapshots is how many were taken before it; not written.
+	snapshots uint64
 }
 
 // pack is the record as it stands in the log: a line of JSON without the cell's data, and
@@ -79,8 +81,13 @@
 	state   state
 	store   *disk.Store
 	pending map[string]*pending
-	whole   int               // records of the whole state that may not last yet
-	sums    map[string]summed // of long values, by key
+	whole   int // records of the whole state that may not last yet
+	// snapshots counts those taken; durable is the number of the last one that lasts, and with
+	// it each record from before it. failed are records that the disk did not keep, and no
+	// snapshot has brought since.
+	snapshots, durable uint64
+	failed             []*record
+	sums               map[string]summed // of long values, by key
 	// Moved, if set, is told of a core that this acceptor has learned.
 	Moved func(Core)
 	// Name is its daemon's, for whoever makes a core.
@@ -121,7 +128,7 @@
 // nothing.
 func OpenAcceptor(options disk.Options, id string) (*Acceptor, error) {
 	acceptor := &Acceptor{state: state{ID: id, Cells: map[string]Cell{}}, pending: map[string]*pending{}}
-	options.Snapshot = acceptor.snapshot
+	options.Snapshot, options.Folded = acceptor.snapshot, acceptor.folded
 	store, value, records, fresh, err := disk.Open(options)
 	if err != nil {
 		return nil, err
@@ -219,9 +226,40 @@
 func (acceptor *Acceptor) snapshot() []byte {
 	acceptor.guard.Lock()
 	defer acceptor.guard.Unlock()
+	acceptor.snapshots++
 	return encode(&acceptor.state)
 }
 
+// folded notes that the last snapshot lasts. A vote that failed for the disk was told as
+// failed; that what it wrote lasts after all is as if the answer had been lost.
+func (acceptor *Acceptor) folded() {
+	acceptor.guard.Lock()
+	defer acceptor.guard.Unlock()
+	acceptor.durable = acceptor.snapshots
+	left := acceptor.failed[:0]
+	for _, one := range acceptor.failed {
+		if one.snapshots < acceptor.durable {
+			acceptor.lasts(one)
+		} else {
+			left = append(left, one)
+		}
+	}
+	acceptor.failed = left
+}
+
+// settled notes what became of records on the disk.
+func (acceptor *Acceptor) settled(records []*record, err error) {
+	acceptor.guard.Lock()
+	defer acceptor.guard.Unlock()
+	for _, one := range records {
+		if err == nil || one.snapshots < acceptor.durable {
+			acceptor.lasts(one)
+		} else {
+			acceptor.failed = append(acceptor.failed, one)
+		}
+	}
+}
+
 // Standing of a vote.
 const (
 	Voted     = iota // the vote is given and lasts
--- a/register/many.go
+++ b/register/many.go
@@ -22,6 +22,7 @@
 	records := step(&acceptor.state)
 	wait := func() error { return nil }
 	for _, one := range records {
+		one.snapshots = acceptor.snapshots
 		acceptor.begin(one)
 		wait = acceptor.store.Enqueue(one.pack())
 	}
@@ -31,13 +32,7 @@
 	acceptor.guard.Unlock()
 	// The store keeps them in the order of their coming.
 	err := wait()
-	if err == nil {
-		acceptor.guard.Lock()
-		for _, one := range records {
-			acceptor.lasts(one)
-		}
-		acceptor.guard.Unlock()
-	}
+	acceptor.settled(records, err)
 	return err
 }
 
--- a/register/register_test.go
+++ b/register/register_test.go
@@ -339,7 +339,48 @@
 		bench.do("b", time.Second, func(*register.Keeper) {
 			_ = bench.acceptors["b"].Prepare(register.Ask{Epoch: 1, Key: "k", Ballot: register.Ballot{Round: 99}}, &vote)
 		})
-		So(vote.Kind, ShouldEqual, register.Sick) // nothing counts until it starts anew
+		So(vote.Kind, ShouldEqual, register.Sick) // nothing counts until the whole was written anew
+	})
+	Convey("a disk that takes writes again is voted on again, with all that was promised, also after a start", t, func() {
+		for _, spoil := range []func(disk *sim.Disk, is bool){func(disk *sim.Disk, is bool) { disk.Full = is }, func(disk *sim.Disk, is bool) { disk.Sick = is }} {
+			bench := newBench(5)
+			core := bench.core("a", "b", "c")
+			bench.write("a", 2, "k")
+			spoil(bench.Node("b").Disk, true)
+			bench.write("a", 3, "during")
+			ask := func(round uint64) (vote register.Vote) {
+				bench.do("b", time.Second, func(*register.Keeper) {
+					_ = bench.acceptors["b"].Prepare(register.Ask{Epoch: 1, Key: "k", Ballot: register.Ballot{Epoch: 1, Round: round}}, &vote)
+				})
+				return vote
+			}
+			So(ask(90).Kind, ShouldEqual, register.Sick)
+			spoil(bench.Node("b").Disk, false)
+			bench.Run(600 * time.Millisecond)
+			So(ask(99).Kind, ShouldEqual, register.Voted)
+			var about register.About
+			So(bench.acceptors["b"].Describe(struct{}{}, &about), ShouldBeNil)
+			So(about.Disk.Broken, ShouldEqual, "")
+			// What it shows lasts, and is not behind what it holds.
+			var seen register.Seen
+			bench.do("b", time.Second, func(*register.Keeper) {
+				_ = bench.acceptors["b"].Query(register.Look{Epoch: 1, Keys: register.Keys{"k"}}, &seen)
+			})
+			So(seen.Cells["k"], ShouldResemble, bench.acceptors["b"].Cells()["k"])
+			bench.write("a", 4, "after")
+			bench.Kill("b")
+			bench.start("b", core)
+			bench.Run(time.Second)
+			So(bench.troubles["b"], ShouldBeNil)
+			So(ask(95).Kind, ShouldEqual, register.Outvoted) // 99 was promised before
+			// With c gone, a and b are the majority.
+			bench.Kill("c")
+			var value register.Value
+			var err error
+			So(bench.do("a", 10*time.Second, func(proposer *register.Keeper) { value, err = proposer.Read("after") }), ShouldBeTrue)
+			So(err, ShouldBeNil)
+			So(value.Serial, ShouldEqual, 4)
+		}
 	})
 }
 
--- /dev/null
+++ b/settings/choices_test.go
@@ -0,0 +1,76 @@
+package settings_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"swifttiller/settings"
+)
+
+// place is a data daemon's settings; more goes into the object.
+func place(t *testing.T, more string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "daemon.json")
+	text := `{"name":"d1","region":"a","zone":"a-1","wire":"127.0.0.1:1","http":"127.0.0.1:2","seeds":["127.0.0.1:3"]` + more + `}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestChoices: what makes a daemon log its choices may stand in the file or be a flag, and only
+// true or false will do.
+func TestChoices(t *testing.T) {
+	given := func(words ...string) *flag.FlagSet {
+		set := flag.NewFlagSet("d", flag.ContinueOnError)
+		settings.ProcessFlags(set)
+		if err := set.Parse(words); err != nil {
+			t.Fatal(err)
+		}
+		return set
+	}
+	for _, one := range []struct {
+		more  string
+		words []string
+		want  bool
+	}{
+		{"", nil, false},
+		{`,"choices":true`, nil, true},
+		{"", []string{"--choices"}, true},
+		{`,"choices":true`, []string{"--choices=false"}, false},
+	} {
+		process, err := settings.LoadProcess(place(t, one.more), given(one.words...))
+		if err != nil || process.Choices != one.want {
+			t.Errorf("%s %v: %v, %v", one.more, one.words, process, err)
+		}
+	}
+	if _, err := settings.LoadProcess(place(t, `,"choices":"yes"`), given()); err == nil || !strings.Contains(err.Error(), "$.choices") {
+		t.Errorf("told %v", err)
+	}
+	process := &settings.Process{Name: "d1"}
+	process.Watching(given("--choices", "--name", "other"))
+	if !process.Choices || process.Name != "d1" {
+		t.Errorf("where all else comes from the machine: %+v", process)
+	}
+}
+
+// TestWithdrawnLimits: a document of an earlier release is taken, and it is said what in it
+// means nothing any more; a limit that never was is a problem.
+func TestWithdrawnLimits(t *testing.T) {
+	tree, problems := settings.Parse([]byte(strings.Replace(good, `"queue_ms": 900`, `"queue_ms": 900, "reader_share": 0.4`, 1)))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if warnings := tree.Warnings(); len(warnings) != 1 || warnings[0].Path != "$.whole.limits.reader_share" {
+		t.Errorf("warned of %v", warnings)
+	}
+	if _, problems := settings.Parse([]byte(strings.Replace(good, `"queue_ms": 900`, `"writer_share": 0.4`, 1))); len(problems) != 1 {
+		t.Errorf("an unknown limit: %v", problems)
+	}
+	if tree, _ := settings.Parse([]byte(good)); len(tree.Warnings()) > 0 {
+		t.Errorf("warned of %v", tree.Warnings())
+	}
+}
