--- a/permit/edition.go
+++ b/permit/edition.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"strings"
 
 	"swifttiller/settings"
@@ -198,12 +199,12 @@
 	Base   uint64 // what it has and wants it told against; zero for none
 }
 
-// carriedBytes is the most that an edition may have to ride on offers. An evacuation and a
-// change of a few routes have less; what is longer each holder fetches once, near it.
+// carriedBytes is the most that an edition may have to ride on offers.
 const carriedBytes = 2048
 
-// carried is the edition of the serial for offers, against the configuration before it; nil
-// where it is too long, or the newest one here is another.
+// carried is the edition of the serial for offers, against the configuration before it: an
+// evacuation, which changes no chunk. Nil for all others, each of which every holder fetches
+// once, near it, and where the newest one here is another.
 func (issuer *Office) carried(serial uint64) *Edition {
 	issuer.guard.Lock()
 	count := len(issuer.issues)
@@ -212,7 +213,11 @@
 		return nil
 	}
 	base := issuer.issues[count-2].serial
+	isSame := areSame(issuer.issues[count-2].chunks, issuer.issues[count-1].chunks)
 	issuer.guard.Unlock()
+	if !isSame {
+		return nil
+	}
 	edition := new(Edition)
 	if issuer.Fetch(Want{Serial: serial, Base: base}, edition) != nil || edition.Serial != serial || edition.Base != base {
 		return nil
@@ -223,6 +228,11 @@
 	return edition
 }
 
+// areSame tells whether two configurations have the same chunks in the same order.
+func areSame(a, b []*settings.Chunk) bool {
+	return slices.EqualFunc(a, b, func(one, other *settings.Chunk) bool { return one.Digest == other.Digest })
+}
+
 // Fetch gives the newest configuration, packed once for all who have the same base, and
 // whole if that one is not kept. Serial is zero if there is none as new as is wanted.
 func (office *Office) Fetch(want Want, edition *Edition) error {
--- a/permit/edition_test.go
+++ b/permit/edition_test.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// TestOffersBringSmallEditions: what an evacuation or a small change offers is gone by at once,
-// with nothing fetched; a long one is not brought, nor one against another configuration.
-func TestOffersBringSmallEditions(t *testing.T) {
+// TestOffersBringEvacuations: what an evacuation offers is gone by at once, with nothing
+// fetched; a changed route is not brought, nor what is told against another configuration.
+func TestOffersBringEvacuations(t *testing.T) {
 	issuer := learned(t, routed(0, 300, 1), routed(0, 300, 1))
 	edition := issuer.carried(2)
 	if edition == nil || edition.Base != 1 {
@@ -213,7 +213,7 @@
 	if issuer.carried(1) != nil {
 		t.Error("a configuration that is not the newest is brought")
 	}
-	if big := learned(t, routed(0, 3000, 1), routed(1, 9000, 1)); big.carried(2) != nil {
-		t.Error("a long edition is brought")
+	if changed := learned(t, routed(0, 300, 1), routed(1, 300, 1)); changed.carried(2) != nil {
+		t.Error("a changed route is brought, which each holder fetches once")
 	}
 }
--- a/permit/holder.go
+++ b/permit/holder.go
@@ -110,8 +110,8 @@
 // Holder keeps a data daemon's permit.
 //
 // Invariants: floor is the highest serial that was offered; no grant below it is taken.
-// Configurations come by fetches, one under way at a time, or, small ones, with an offer: so
-// no two copies of a large one are on their way to a holder. No view shows a life that leavers has, below its serial.
+// Configurations come by fetches, one under way at a time, but for evacuations, which come
+// with an offer: so no two copies of a document are on their way to a holder. No view shows a life that leavers has, below its serial.
 type Holder struct {
 	HolderOptions
 	guard sync.Mutex // over replacing the view
