--- a/controlplane/order.go
+++ b/controlplane/order.go
@@ -217,13 +217,11 @@
 // that is acknowledged again.
 func (operator *Operator) Evacuate(zone string, back bool) (permit.Applied, error) {
 	daemon := operator.daemon
-	if _, _, tree := daemon.Office.Current(); tree != nil {
-		if _, known := tree.RegionOf(zone); known {
-			applied, isSo, err := daemon.Office.Stands(func(config permit.Config) bool { return slices.Contains(config.Evacuated, zone) != back })
-			if isSo || err != nil {
-				return daemon.ended(operator.arrived, applied, err)
-			}
-		}
+	if applied, isSo, err := daemon.Office.Stands(func(tree *settings.Tree, config permit.Config) bool {
+		_, isKnown := tree.RegionOf(zone)
+		return isKnown && slices.Contains(config.Evacuated, zone) != back
+	}); isSo || err != nil {
+		return daemon.ended(operator.arrived, applied, err)
 	}
 	return operator.settle(orderSpan, func(config permit.Config) (permit.Config, error) {
 		if len(config.Document) == 0 {
--- a/decide/owner.go
+++ b/decide/owner.go
@@ -35,18 +35,7 @@
 	if routed.owner == 0 && home == "" {
 		return
 	}
-	owner, successor := rank(routed, all, home, isNear)
-	if owner != nil {
-		owner.isOwner = true
-	}
-	if successor != nil {
-		successor.isSuccessor = true
-	}
-}
-
-// rank gives the first two by rendezvous of those that may own the shared parts; nil for
-// none.
-func rank(routed *Routed, all []prospect, home string, isNear func(*standing.Place) bool) (owner, successor *prospect) {
+	var owner, successor *prospect
 	var most, next uint64
 	isPlaced := false
 	for at := range all {
@@ -65,13 +54,15 @@
 			successor, next = one, score
 		}
 	}
-	return owner, successor
+	if owner != nil {
+		owner.isOwner = true
+	}
+	if successor != nil {
+		successor.isSuccessor = true
+	}
 }
 
 // slotScore is the rendezvous weight of a key at a place's slot.
 func slotScore(key uint64, place *standing.Place) uint64 {
 	return score(key, place.Region+"/"+strconv.Itoa(place.Slot))
 }
-
-// longShare: a prompt that takes this part of its target to read is long.
-const longShare = 8
--- a/decide/seat.go
+++ b/decide/seat.go
@@ -59,8 +59,7 @@
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
 	seat := selection.seat
-	seat.vouched, seat.strikes, seat.shunned, seat.isUnreached = now, 0, 0, false
-	decider.alive(seat)
+	decider.lives(seat, now)
 	if seat.waits > 0 {
 		seat.silent = now
 	}
@@ -117,14 +116,18 @@
 	}
 }
 
+// lives notes that a replica has just shown that it is alive; who holds the guard calls it.
+func (decider *Decider) lives(seat *engine, now time.Duration) {
+	seat.vouched, seat.strikes, seat.shunned, seat.isUnreached = now, 0, 0, false
+	decider.alive(seat)
+}
+
 // Flowed notes that a piece of a stream came from the replica of a selection.
 func (decider *Decider) Flowed(selection *Selection) {
 	now := decider.World.Now()
 	decider.guard.Lock()
 	defer decider.guard.Unlock()
-	seat := selection.seat
-	seat.vouched, seat.strikes, seat.shunned, seat.isUnreached = now, 0, 0, false
-	decider.alive(seat)
+	decider.lives(selection.seat, now)
 }
 
 // Unseat ends a routed selection: what became of it, and the time to the first piece.
@@ -141,10 +144,7 @@
 	if selection.isFlowing {
 		selection.seat.flowing--
 	}
-	if bad := badness(mishap, isEmpty); bad > 0 {
-		if mishap.Code == "replica_silent" || mishap.Code == "expired" {
-			bad *= decider.certainty(selection, now)
-		}
+	if bad := badness(mishap, isEmpty, decider.certainty(selection, now)); bad > 0 {
 		decider.judgeVitals(selection, bad, now)
 	}
 	if mishap != nil {
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -48,12 +48,9 @@
 
 // isListed tells whether the life of a selection's replica is in the routing table.
 func isListed(view *permit.View, selection *Selection) bool {
-	for _, place := range view.Standings[selection.Region].Places {
-		if place.ID == selection.Replica {
-			return place.Boot == selection.Boot
-		}
-	}
-	return false
+	placed := places{list: view.Standings[selection.Region].Places}
+	place := placed.of(selection.Replica)
+	return place != nil && place.Boot == selection.Boot
 }
 
 // silence is how long a replica may say nothing at all while something is to come from
--- a/decide/tenant.go
+++ b/decide/tenant.go
@@ -7,6 +7,9 @@
 	"swifttiller/tenant"
 )
 
+// longShare: a prompt that takes this part of its target to read is long.
+const longShare = 8
+
 // isLong tells whether a prompt goes where long ones go.
 func (decider *Decider) isLong(routed *Routed) bool {
 	return decider.reading(routed.Tokens) >= routed.Route.Target/longShare
--- a/decide/vitals.go
+++ b/decide/vitals.go
@@ -130,17 +130,22 @@
 	return max(0, at-now)
 }
 
-// badness is what an outcome counts against the replica: nothing if it says nothing of it.
-func badness(mishap *verdict.Mishap, isEmpty bool) float64 {
+// badness is what an outcome counts against the replica: nothing if it says nothing of it,
+// and a late one as much as is certain.
+func badness(mishap *verdict.Mishap, isEmpty bool, certainty float64) float64 {
 	if mishap == nil {
 		return 0
 	}
 	switch mishap.Code {
 	case "replica_failed", "replica_cut", "cut", "replica_garbled":
 		return 1
-	case "replica_declined", "replica_silent", "expired":
+	case "replica_declined":
 		if isEmpty {
-			return 1 // it turned away, or was late, while it had places
+			return 1 // it turned away while it had places
+		}
+	case "replica_silent", "expired":
+		if isEmpty {
+			return certainty // it was late while it had places
 		}
 	}
 	return 0
@@ -176,8 +181,7 @@
 
 // certainty is which part of what a late answer counts against its replica.
 func (decider *Decider) certainty(selection *Selection, now time.Duration) float64 {
-	isTold := selection.seat.loadAt > 0 && now-selection.seat.loadAt < toldSpan
-	if isTold || !decider.isLong(selection.routed) {
+	if selection.seat.freshness(now) > 0 || !decider.isLong(selection.routed) {
 		return 1
 	}
 	return unknownShare
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -316,10 +316,9 @@
 			return
 		}
 		err := store.broken
-		isBroken := err != nil
 		store.guard.Unlock()
 		began := store.World.Now()
-		if isBroken {
+		if err != nil {
 			err = store.mend(err)
 		}
 		if err == nil {
--- a/fleet/experiment.go
+++ b/fleet/experiment.go
@@ -153,6 +153,10 @@
 
 func quantiles(list []float64) Quantiles {
 	sort.Float64s(list)
-	at := func(share float64) float64 { return list[min(len(list)-1, int(share*float64(len(list))))] }
-	return Quantiles{at(0.5), at(0.9), at(0.99)}
+	return Quantiles{quantile(list, 0.5), quantile(list, 0.9), quantile(list, 0.99)}
+}
+
+// quantile gives the value below which the share of a sorted list is, which is not empty.
+func quantile[T any](sorted []T, share float64) T {
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
 }
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -106,7 +106,7 @@
 		}
 	}
 	for name, one := range routes {
-		one.Bias, one.Median, one.P95 = errors95(misses[name])
+		one.Bias, one.Median, one.P95 = spread(misses[name])
 		out = append(out, *one)
 	}
 	slices.SortFunc(out, func(a, b Explained) int {
@@ -137,8 +137,8 @@
 	return CauseQueued
 }
 
-// errors95 gives mean, median and 95th percentile.
-func errors95(values []time.Duration) (mean, median, most time.Duration) {
+// spread gives mean, median and 95th percentile.
+func spread(values []time.Duration) (mean, median, most time.Duration) {
 	if len(values) == 0 {
 		return 0, 0, 0
 	}
@@ -146,7 +146,7 @@
 	for _, one := range values {
 		mean += one
 	}
-	return mean / time.Duration(len(values)), values[len(values)/2], values[len(values)*95/100]
+	return mean / time.Duration(len(values)), quantile(values, 0.5), quantile(values, 0.95)
 }
 
 // WriteExplained writes a table of the routes, and of why they were late.
--- a/permit/office.go
+++ b/permit/office.go
@@ -461,15 +461,15 @@
 // way. isSo false tells nothing but that a change is needed; the error is that of the read.
 //
 // Invariant: what it acknowledges was in force after it was called.
-func (issuer *Office) Stands(says func(Config) bool) (applied Applied, isSo bool, err error) {
-	if _, config, tree := issuer.Current(); tree == nil || !says(config) {
+func (issuer *Office) Stands(says func(*settings.Tree, Config) bool) (applied Applied, isSo bool, err error) {
+	if _, config, tree := issuer.Current(); tree == nil || !says(tree, config) {
 		return Applied{}, false, nil // the order is new, as far as is known here
 	}
 	if err := issuer.Refresh(); err != nil {
 		return Applied{}, false, err
 	}
 	serial, config, tree := issuer.Current()
-	if !says(config) {
+	if !says(tree, config) {
 		return Applied{}, false, nil
 	}
 	since, lapse, isKnown := issuer.since(serial)
--- a/scripts/ablations/main.go
+++ b/scripts/ablations/main.go
@@ -160,21 +160,12 @@
 	} else if out.err == nil {
 		out.err = err
 	}
-	if copied, err := exec.Command("cp", "-rn", filepath.Join(clone, "journal")+"/.", journal()).CombinedOutput(); err != nil && out.err == nil {
+	if copied, err := exec.Command("cp", "-rn", filepath.Join(clone, "journal")+"/.", "journal").CombinedOutput(); err != nil && out.err == nil {
 		out.err = fmt.Errorf("the journal entry was not kept: %s", copied)
 	}
 	return out
 }
 
-// journal is the folder of the tree's own entries.
-func journal() string {
-	path, err := filepath.Abs("journal")
-	if err != nil {
-		return "journal"
-	}
-	return path
-}
-
 // table writes what each mechanism is worth: the worth with it less that without, its mean
 // and spread over the plays, and which rules broke without it.
 func table(list []edits.Edit, results []result) string {
--- a/settings/process.go
+++ b/settings/process.go
@@ -105,7 +105,7 @@
 		}
 		process.read(string(data), &problems)
 	}
-	process.overlay(set)
+	set.Visit(process.lay)
 	process.check(&problems)
 	if len(problems) > 0 {
 		return nil, problems
@@ -113,29 +113,27 @@
 	return process, nil
 }
 
-// overlay lays the flags that were given over the settings.
-func (process *Process) overlay(set *flag.FlagSet) {
-	set.Visit(func(given *flag.Flag) {
-		value := given.Value.String()
-		switch given.Name {
-		case "seeds":
-			process.Seeds = strings.Split(value, ",")
-		case "memory":
-			_, _ = fmt.Sscan(value, &process.Memory)
-		case "grace":
-			_, _ = fmt.Sscan(value, &process.Grace)
-		case "first":
-			process.First = value == "true"
-		case "count":
-			process.Count = value == "true"
-		case "choices":
-			process.Choices = value == "true"
-		default:
-			if place := process.place(given.Name); place != nil {
-				*place = value
-			}
+// lay lays one flag over the settings.
+func (process *Process) lay(given *flag.Flag) {
+	value := given.Value.String()
+	switch given.Name {
+	case "seeds":
+		process.Seeds = strings.Split(value, ",")
+	case "memory":
+		_, _ = fmt.Sscan(value, &process.Memory)
+	case "grace":
+		_, _ = fmt.Sscan(value, &process.Grace)
+	case "first":
+		process.First = value == "true"
+	case "count":
+		process.Count = value == "true"
+	case "choices":
+		process.Choices = value == "true"
+	default:
+		if place := process.place(given.Name); place != nil {
+			*place = value
 		}
-	})
+	}
 }
 
 // Watching lays those of the given flags over the settings that only say what is logged;
@@ -143,7 +141,7 @@
 func (process *Process) Watching(set *flag.FlagSet) {
 	set.Visit(func(given *flag.Flag) {
 		if given.Name == "choices" {
-			process.Choices = given.Value.String() == "true"
+			process.lay(given)
 		}
 	})
 }
