--- a/register/acceptor.go
+++ b/register/acceptor.go
@@ -83,10 +83,10 @@
 	pending map[string]*pending
 	whole   int // records of the whole state that may not last yet
 	// snapshots counts those taken; durable is the number of the last one that lasts, and with
-	// it each record from before it. failed are records that the disk did not keep, and no
-	// snapshot has brought since.
+	// it each record from before it. failed are records that the disk did not keep, by key and
+	// since the last snapshot or before it, as counts: a disk may stay full for long.
 	snapshots, durable uint64
-	failed             []*record
+	failed             map[failure]*lapsed
 	sums               map[string]summed // of long values, by key
 	// Moved, if set, is told of a core that this acceptor has learned.
 	Moved func(Core)
@@ -94,6 +94,19 @@
 	Name string
 }
 
+// failure names failed records that the same snapshot makes durable: of a key, or of the
+// whole state where it is none, and whether they came before the last snapshot.
+type failure struct {
+	key       string
+	isCovered bool
+}
+
+// lapsed are such records: how many, and the newest of them.
+type lapsed struct {
+	records int
+	newest  *record
+}
+
 // summed is the sum of the value that was accepted under the ballot, which names one
 // value for good.
 type summed struct {
@@ -227,24 +240,46 @@
 	acceptor.guard.Lock()
 	defer acceptor.guard.Unlock()
 	acceptor.snapshots++
+	for at, one := range acceptor.failed {
+		if !at.isCovered {
+			delete(acceptor.failed, at)
+			acceptor.lapse(failure{at.key, true}, one.newest, one.records)
+		}
+	}
 	return encode(&acceptor.state)
 }
 
+// lapse counts records that the disk did not keep; who holds the guard calls it.
+func (acceptor *Acceptor) lapse(at failure, newest *record, records int) {
+	if acceptor.failed == nil {
+		acceptor.failed = map[failure]*lapsed{}
+	}
+	one := acceptor.failed[at]
+	if one == nil {
+		one = &lapsed{}
+		acceptor.failed[at] = one
+	}
+	one.records += records
+	if one.newest == nil || one.newest.Cell.Accepted.Less(newest.Cell.Accepted) || one.newest.Cell.Promised.Less(newest.Cell.Promised) {
+		one.newest = newest
+	}
+}
+
 // folded notes that the last snapshot lasts. A vote that failed for the disk was told as
 // failed; that what it wrote lasts after all is as if the answer had been lost.
 func (acceptor *Acceptor) folded() {
 	acceptor.guard.Lock()
 	defer acceptor.guard.Unlock()
 	acceptor.durable = acceptor.snapshots
-	left := acceptor.failed[:0]
-	for _, one := range acceptor.failed {
-		if one.snapshots < acceptor.durable {
-			acceptor.lasts(one)
-		} else {
-			left = append(left, one)
+	for at, one := range acceptor.failed {
+		if !at.isCovered {
+			continue
+		}
+		delete(acceptor.failed, at)
+		for range one.records {
+			acceptor.lasts(one.newest)
 		}
 	}
-	acceptor.failed = left
 }
 
 // settled notes what became of records on the disk.
@@ -255,7 +290,7 @@
 		if err == nil || one.snapshots < acceptor.durable {
 			acceptor.lasts(one)
 		} else {
-			acceptor.failed = append(acceptor.failed, one)
+			acceptor.lapse(failure{one.Key, one.snapshots < acceptor.snapshots}, one, 1)
 		}
 	}
 }
