--- /dev/null
+++ b/permit/ending_test.go
@@ -0,0 +1,112 @@
+package permit_test
+
+import (
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"swifttiller/disk"
+	"swifttiller/loop"
+	"swifttiller/permit"
+	"swifttiller/register"
+	"swifttiller/session"
+	"swifttiller/wire"
+)
+
+// localNet carries calls to one control daemon's services within the process. Data daemons are silent.
+type localNet struct {
+	client *rpc.Client
+	// offered gets a letter with each offer to a data daemon.
+	offered chan struct{}
+}
+
+// Call calls the control daemon, or waits in vain for a data daemon.
+func (net *localNet) Call(address, method string, args, reply any, timeout time.Duration) error {
+	if address != "control" {
+		select {
+		case net.offered <- struct{}{}:
+		default:
+		}
+		<-time.After(timeout)
+		return &wire.Mishap{Address: address, Method: method, Sent: true, Cause: wire.ErrExpired}
+	}
+	return net.client.Call(method, args, reply)
+}
+
+// issuer is a control daemon in the world of a real process, alone in its core.
+type issuer struct {
+	*permit.Office
+	machine *loop.Machine
+	net     *localNet
+}
+
+// leaseSpan is how long the leases of these tests stand.
+const leaseSpan = 600 * time.Millisecond
+
+func document(label int) []byte {
+	return fmt.Appendf(nil, `{"label":%d,"whole":{"limits":{"permit_ms":%d}},"regions":{"a":{"zones":{"a-1":{}}}}}`, label, leaseSpan.Milliseconds())
+}
+
+func newIssuer(t *testing.T) *issuer {
+	t.Helper()
+	machine := loop.NewMachine()
+	acceptor, err := register.OpenAcceptor(disk.Options{World: machine, Folder: disk.Real(t.TempDir()), LogBytes: 1 << 20}, "control-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName("Register", acceptor); err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	wires := &localNet{client: rpc.NewClient(near), offered: make(chan struct{}, 1)}
+	proposer := &register.Keeper{Options: register.Options{World: machine, Net: wires, Self: "control.1", Patience: 2 * time.Second, Own: acceptor.ID()}}
+	if _, err := proposer.Init([]string{"control"}); err != nil {
+		t.Fatal(err)
+	}
+	span := func() time.Duration { return time.Second }
+	table := session.NewTable(session.Options{World: machine, Net: wires, Self: session.Member{Name: "control", Role: session.Control, Wire: "control"}, Seeds: func() []string { return nil }, Span: span, Keeper: proposer})
+	return &issuer{machine: machine, net: wires, Office: &permit.Office{Options: permit.Options{World: machine, Net: wires, Keeper: proposer, Table: table}}}
+}
+
+func (issuer *issuer) change(label int) (permit.Applied, error) {
+	return issuer.Change(nil, func(config permit.Config) (permit.Config, error) {
+		return config.Take(document(label), permit.Mark(fmt.Sprintf("%d/x", label)), 0)
+	})
+}
+
+// TestNoChangeIsConfirmedByAProcessThatEnds guards against a change that a control daemon confirmed as
+// its own end cut its waits short, while a data daemon that had not heard of it still held a lease.
+func TestNoChangeIsConfirmedByAProcessThatEnds(t *testing.T) {
+	const runs = 20
+	var group sync.WaitGroup
+	for range runs {
+		group.Go(func() {
+			issuer := newIssuer(t)
+			if _, err := issuer.change(1); err != nil {
+				t.Error(err)
+				return
+			}
+			grant := new(permit.Grant)
+			ask := permit.Ask{Holder: session.Member{Name: "data", Incarnation: "1", Role: session.Data, Wire: "data"}}
+			granted := issuer.machine.Now()
+			if err := issuer.Renew(ask, grant); err != nil || grant.Declined != "" {
+				t.Error(err, grant.Declined)
+				return
+			}
+			go func() {
+				<-issuer.net.offered
+				issuer.machine.End()
+			}()
+			applied, err := issuer.change(2)
+			if after := issuer.machine.Now() - granted; err == nil && after < leaseSpan {
+				t.Errorf("confirmed %v after a lease of %v was granted to a data daemon that does not know it: %+v", after, leaseSpan, applied)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -11,6 +11,7 @@
 	*history
 	bounds
 	controls map[string]bool
+	core     int // how many control daemons there are at a time
 	services []string
 	latest   latest
 }
@@ -48,7 +49,7 @@
 		return 0, true
 	}
 	disturbed := checker.disturbed(span{min(since, one.sent) - checker.contact, decided}, isCore)
-	return checker.stretch, 2*len(disturbed) < len(checker.controls)
+	return checker.stretch, 2*len(disturbed) < checker.core
 }
 
 // mayBeInForce tells whether a version may be what a request was handled by.
@@ -91,7 +92,7 @@
 			continue
 		}
 		for _, version := range changes {
-			if version.acknowledged == 0 || version.edition <= newest {
+			if version.acknowledged == 0 || version.edition <= newest || version.acknowledged >= one.sent {
 				continue
 			}
 			if behind := one.sent - version.acknowledged; behind > checker.latest.behind {
@@ -115,6 +116,43 @@
 	return judged
 }
 
+// served counts, of the requests to machines in touch for which the newest version has a route, how many
+// were served, by what the route is like.
+func (checker *checker) served() map[string][2]int {
+	out := map[string][2]int{}
+	for _, one := range checker.outcomes {
+		if more, isBound := checker.lateness(one, 0); !isBound || more > 0 {
+			continue
+		}
+		var newest *change
+		for _, version := range checker.changes {
+			if version.acknowledged > 0 && version.acknowledged < one.sent-checker.apply && (newest == nil || newest.edition < version.edition) {
+				newest = version
+			}
+		}
+		if newest == nil {
+			continue
+		}
+		route, isFound := newest.document.find(one.host, one.path)
+		if !isFound {
+			continue
+		}
+		what := fmt.Sprintf("%s, resume %v, homes %d, shares %d", route.Kind, route.Resume, len(route.Homes), len(route.Shares))
+		count := out[what]
+		count[1]++
+		if one.service != "" {
+			count[0]++
+		} else {
+			key := fmt.Sprintf("%s: status %d", what, one.status)
+			other := out[key]
+			other[1]++
+			out[key] = other
+		}
+		out[what] = count
+	}
+	return out
+}
+
 func (checker *checker) broken(one outcome, what string, version int) {
 	id := fmt.Sprintf("%s/%d/%d/%s%s", one.machine, one.life, version, one.host, one.path)
 	if checker.contradicted[id] {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // Ports, alike on all machines.
@@ -150,6 +152,34 @@
 	}
 }
 
+// waitFor waits until something is so, for at most a minute.
+func (cluster *cluster) waitFor(t *testing.T, what string, isSo func() bool) {
+	t.Helper()
+	for since := cluster.history.now(); cluster.history.now()-since < time.Minute; cluster.wait(50 * time.Millisecond) {
+		if isSo() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+// isCalm tells whether all processes run, each data daemon serves and each control daemon reads the
+// configuration.
+func (cluster *cluster) isCalm(operator *operator) bool {
+	for _, one := range cluster.of(control) {
+		if _, err := operator.read(one); one.lived() == 0 || err != nil {
+			return false
+		}
+	}
+	for _, one := range cluster.of(data) {
+		status, _, err := fasthttp.GetTimeout(nil, fmt.Sprintf("http://%s:%d/ready", one.ip, readyPort), time.Second)
+		if one.lived() == 0 || err != nil || status != fasthttp.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
 // join adds a machine of a role.
 func (cluster *cluster) join(role string, isFirst bool) *machine {
 	cluster.guard.Lock()
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,39 @@
 	random  *rand.Rand
 	// limits of what is worst: the pause between troubles, and how long a freeze lasts.
 	pause, freeze time.Duration
+	// barredUntil is until when no control daemon may be disturbed, as a disk was lost and its copies are
+	// being made anew.
+	barredUntil time.Duration
+}
+
+// catchUp is after which time a control daemon that lost its disk has its copies again.
+const catchUp = 4 * time.Second
+
+// mayLoseDisk tells whether a disk may be lost now: all control daemons run and have run for a while,
+// as no more than one of them may be lost at once. It bars other troubles of theirs for as long.
+func (faults *faults) mayLoseDisk() bool {
+	history := faults.cluster.history
+	now := history.now()
+	for _, one := range faults.cluster.of(control) {
+		if one.lived() == 0 {
+			return false
+		}
+	}
+	history.guard.Lock()
+	defer history.guard.Unlock()
+	for _, one := range history.disturbances {
+		isControl := strings.HasPrefix(one.machine, control)
+		if isControl && one.overlaps(span{now - catchUp - time.Second, now}) {
+			return false
+		}
+	}
+	faults.barredUntil = now + catchUp + 2*time.Second
+	return true
+}
+
+// spared tells whether a machine must be left alone now.
+func (faults *faults) spared(machine *machine) bool {
+	return machine.role == control && faults.cluster.history.now() < faults.barredUntil
 }
 
 var troubles = []trouble{
@@ -38,10 +72,13 @@
 	{"a data daemon leaves and another joins", 1, (*faults).replaceData},
 	{"all control daemons killed", 1, func(faults *faults) {
 		for _, one := range faults.cluster.of(control) {
-			faults.kill(one)
+			if !faults.spared(one) {
+				faults.kill(one)
+			}
 		}
 	}},
-	{"a control disk lost", 1, (*faults).wipe},
+	{"a control disk lost", 2, (*faults).wipe},
+	{"a control daemon leaves and another joins", 2, (*faults).replaceControl},
 	{"a zone evacuated and taken back", 1, (*faults).evacuate},
 }
 
@@ -69,7 +106,9 @@
 	machines := faults.cluster.of(role)
 	faults.random.Shuffle(len(machines), func(a, b int) { machines[a], machines[b] = machines[b], machines[a] })
 	for _, one := range machines[:min(len(machines), 1+faults.random.IntN(most))] {
-		act(one)
+		if !faults.spared(one) {
+			act(one)
+		}
 		if !faults.cluster.wait(time.Duration(faults.random.Int64N(int64(700 * time.Millisecond)))) {
 			return
 		}
@@ -189,8 +228,23 @@
 	faults.cluster.attend(fresh)
 }
 
+// replaceControl takes a control daemon away for good and adds an empty one at another address.
+func (faults *faults) replaceControl() {
+	if !faults.mayLoseDisk() {
+		return
+	}
+	one := pick(faults.random, faults.cluster.of(control))
+	history := faults.cluster.history
+	history.settle(history.disturb(one.name, "leaves for good"))
+	one.retire(pick(faults.random, []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}))
+	faults.cluster.join(control, false).launch()
+}
+
 // wipe kills a control daemon and empties its disk.
 func (faults *faults) wipe() {
+	if !faults.mayLoseDisk() {
+		return
+	}
 	one := pick(faults.random, faults.cluster.of(control))
 	history := faults.cluster.history
 	lost := history.disturb(one.name, "loses its disk")
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -138,6 +138,15 @@
 	}
 }
 
+// catchUpTo is catchUp after a change that was sent elsewhere.
+func (operator *operator) catchUpTo(one *change) {
+	history := operator.cluster.history
+	history.guard.Lock()
+	history.changes = append(history.changes, one)
+	history.guard.Unlock()
+	operator.catchUp()
+}
+
 // begin sends the first configuration until it is taken.
 func (operator *operator) begin() error {
 	first := &change{edition: 1, document: operator.author.first()}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -18,14 +21,23 @@
 	dataFlag    = flag.Int("datas", 6, "data daemons")
 	pauseFlag   = flag.Duration("pause", 2500*time.Millisecond, "the longest pause between troubles")
 	freezeFlag  = flag.Duration("freeze", 4*time.Second, "the longest freeze")
+	turnsFlag   = flag.Int("turns", 6, "how often a control daemon is stopped under a change")
+	raceFlag    = flag.Bool("races", false, "build the programs with the race detector")
 	keepFlag    = flag.String("keep", "", "a folder for timelines and logs of runs that fail")
 )
 
+// seedOf is a seed of a machine's own.
+func seedOf(name string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name))
+	return sum.Sum64()
+}
+
 // attend has clients send requests to a data daemon.
 func (cluster *cluster) attend(machine *machine) {
 	author := newAuthor(rand.New(rand.NewPCG(0, 0)), cluster.deployment)
 	for number := range cluster.clients {
-		client := &client{cluster: cluster, machine: machine, author: author, random: rand.New(rand.NewPCG(uint64(len(machine.name)*100+number), uint64(cluster.network[4])))}
+		client := &client{cluster: cluster, machine: machine, author: author, random: rand.New(rand.NewPCG(seedOf(machine.name), uint64(number)))}
 		cluster.group.Go(client.run)
 	}
 }
@@ -49,9 +61,11 @@
 	cluster.group.Go(faults.run)
 	cluster.wait(lasts)
 	cluster.finish()
-	checker := &checker{history: cluster.history, bounds: deployment.bounds, controls: map[string]bool{}, services: deployment.services}
-	for _, one := range cluster.of(control) {
-		checker.controls[one.name] = true
+	checker := &checker{history: cluster.history, bounds: deployment.bounds, controls: map[string]bool{}, core: deployment.controls, services: deployment.services}
+	for _, one := range cluster.history.disturbances {
+		if strings.HasPrefix(one.machine, control) {
+			checker.controls[one.machine] = true
+		}
 	}
 	judged := checker.checkOutcomes()
 	checker.checkReadings()
@@ -66,6 +80,9 @@
 		t.Errorf("vacuous: %d answers judged, %d changes acknowledged", judged, acknowledged)
 	}
 	t.Logf("seed %d: %d of %d answers judged, %d of %d changes acknowledged, %d readings, %d disturbances", seed, judged, len(checker.outcomes), acknowledged, len(checker.changes), len(checker.readings), len(checker.disturbances))
+	for what, count := range checker.served() {
+		t.Logf("served: %s: %d of %d", what, count[0], count[1])
+	}
 	if last := checker.latest; last.behind > 0 {
 		t.Logf("seed %d: latest: %s (life %d) went by an older version than %d for %v after that was acknowledged, at %.3f", seed, last.outcome.machine, last.outcome.life, last.edition, last.behind, last.outcome.sent.Seconds())
 	}
@@ -74,10 +91,17 @@
 
 // report tells what was broken, with the run's timeline.
 func (cluster *cluster) report(t *testing.T, seed uint64) {
+	logs, _ := filepath.Glob(filepath.Join(cluster.folder, "*", "log"))
+	for _, name := range logs {
+		text, err := os.ReadFile(name)
+		if at := bytes.Index(text, []byte("DATA RACE")); err == nil && at >= 0 {
+			t.Errorf("seed %d: %s: %s", seed, filepath.Base(filepath.Dir(name)), text[at:min(len(text), at+4000)])
+		}
+	}
 	for _, one := range cluster.history.failures {
 		t.Errorf("seed %d: %s", seed, one)
 	}
-	if !t.Failed() || *keepFlag == "" {
+	if *keepFlag == "" {
 		return
 	}
 	folder := filepath.Join(*keepFlag, t.Name())
@@ -87,7 +111,6 @@
 		text = append(append(text, line...), '\n')
 	}
 	_ = os.WriteFile(filepath.Join(folder, "timeline"), text, 0o600)
-	logs, _ := filepath.Glob(filepath.Join(cluster.folder, "*", "log"))
 	for _, name := range logs {
 		if text, err := os.ReadFile(name); err == nil {
 			_ = os.WriteFile(filepath.Join(folder, filepath.Base(filepath.Dir(name))+".log"), text, 0o600)
@@ -98,7 +121,11 @@
 // TestConfirmedChangesOverRealProcesses: signals, restarts and changes of the configuration overlap, and
 // no change that was confirmed is late, comes back older, or is taken though it is invalid.
 func TestConfirmedChangesOverRealProcesses(t *testing.T) {
-	words := programs(t, t.TempDir())
+	var flags []string
+	if *raceFlag {
+		flags = append(flags, "-race")
+	}
+	words := programs(t, t.TempDir(), flags...)
 	for index := range *seedsFlag {
 		seed := *seedFlag + uint64(index)
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
--- /dev/null
+++ b/soak/stop_test.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// leaseLeft is for how long at the least a frozen data daemon's lease stands on: leases last six tenths of
+// the bound for changes, and are renewed each third of that.
+const leaseLeft = 6 * 2 * 3000 * time.Millisecond / 10 / 3
+
+// patientCall sends a change on a connection that was opened before, and waits for as long as that stays open.
+func patientCall(conn net.Conn, basedOn int, body []byte) (status int, err error) {
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(answer)
+	request.Header.SetMethod("POST")
+	request.SetRequestURI("/Config.Replace")
+	request.Header.SetHost(conn.RemoteAddr().String())
+	request.Header.Set("Based-On", fmt.Sprint(basedOn))
+	request.SetBody(body)
+	writer := bufio.NewWriter(conn)
+	if err := request.Write(writer); err != nil {
+		return 0, err
+	}
+	if err := writer.Flush(); err != nil {
+		return 0, err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if err := answer.Read(bufio.NewReader(conn)); err != nil {
+		return 0, err
+	}
+	return answer.StatusCode(), nil
+}
+
+// TestNoChangeIsConfirmedByAStoppingControlDaemon guards against a change that is confirmed while a data
+// daemon that does not know it still holds a lease, by a control daemon that is told to stop meanwhile.
+func TestNoChangeIsConfirmedByAStoppingControlDaemon(t *testing.T) {
+	deployment := sklepik(3, 3)
+	cluster := begin(t, deployment, programs(t, t.TempDir()), *seedFlag)
+	defer func() {
+		cluster.finish()
+		cluster.report(t, *seedFlag)
+	}()
+	random := rand.New(rand.NewPCG(*seedFlag, 20))
+	operator := newOperator(cluster, newAuthor(random, deployment), random)
+	if err := operator.begin(); err != nil {
+		t.Fatal(err)
+	}
+	faults := &faults{cluster: cluster, random: random}
+	unclear, clear := 0, 0
+	for turn := range *turnsFlag {
+		stopped := cluster.of(control)[turn%3]
+		frozen := cluster.of(data)[turn%3]
+		cluster.waitFor(t, "all daemons run, and one leads each", func() bool { return cluster.isCalm(operator) })
+		conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", stopped.ip, controlPort), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		frozen.signal(syscall.SIGSTOP)
+		began := cluster.history.now()
+		faults.stop(stopped)
+		// It is on its way when the order to stop comes, or a little later.
+		cluster.wait(time.Duration(random.Int64N(int64(60 * time.Millisecond))))
+		edition := operator.edition + 1
+		next := operator.author.next(operator.current, edition)
+		status, err := patientCall(conn, operator.edition, next.body(edition, deployment.services))
+		took := cluster.history.now() - began
+		cluster.history.note("turn %d: %s answered %d (%v) after %v", turn, stopped.name, status, err, took)
+		if status == 200 {
+			clear++
+		} else {
+			unclear++
+		}
+		if status == 200 && took < leaseLeft {
+			t.Errorf("turn %d: %s, which was stopping, confirmed a change after %v, while %s was frozen and its lease stood for %v", turn, stopped.name, took, frozen.name, leaseLeft)
+		}
+		conn.Close()
+		frozen.signal(syscall.SIGCONT)
+		operator.catchUpTo(&change{edition: edition, document: next})
+	}
+	t.Logf("%d changes confirmed, %d not", clear, unclear)
+}
