A control daemon that ends confirms nothing that data daemons have not taken

What callers saw: a change answered 200 by a control daemon that had been told to stop, while a data daemon that had not heard of it still held a lease under the version before.

Cause: when the process ends its world, each wait returns at once. Office.Holders took its own cut wait for "there are no holders", without an error, and acknowledge took that for "all have it". The class: a wait that was cut short is taken for an answer. loop.Gather now tells whether enough or all have answered; Holders gives an error where not; acknowledge gives ErrUnconfirmed when the process ends first, which is answered as 504 outcome_unknown, so that the operator sends the change again. The other waits that can be cut were read for the same: registers, disks, leases, fetches, limits, tickets and duties all take a cut wait for no answer.

--- a/controlplane/operate.go
+++ b/controlplane/operate.go
@@ -39,7 +39,7 @@
 		return nil
 	case errors.As(err, &mishap):
 		return mishap
-	case errors.Is(err, register.ErrUncertain):
+	case errors.Is(err, register.ErrUncertain), errors.Is(err, permit.ErrUnconfirmed):
 		return unknown(err)
 	case errors.As(err, &stale):
 		return verdict.Decline(409, "stale", fmt.Sprintf("expected serial %d, but the current serial is %d", stale.Want, stale.Have), 0)
--- a/controlplane/order.go
+++ b/controlplane/order.go
@@ -145,8 +145,8 @@
 		return permit.Applied{}, problems
 	}
 	mark := marked(tree.Label(), rest, origin)
-	if applied, isTaken := daemon.Office.Again(mark); isTaken {
-		return daemon.ended(operator.arrived, applied, nil)
+	if applied, isTaken, err := daemon.Office.Again(mark); isTaken {
+		return daemon.ended(operator.arrived, applied, err)
 	}
 	archived := daemon.Office.Archive()
 	var under permit.Config // what was revised last
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -99,8 +99,9 @@
 
 // Gather starts the ask for each of count and hands the answers to enough, in
 // the order in which they come, until enough answers true, all have answered,
-// or the patience runs out. Late answers are dropped.
-func Gather[T any](world World, count int, patience time.Duration, ask func(index int) T, enough func(index int, answer T) bool) {
+// the patience runs out or the world ends. Late answers are dropped. It tells whether
+// enough or all have answered: else nothing follows from what did not come.
+func Gather[T any](world World, count int, patience time.Duration, ask func(index int) T, enough func(index int, answer T) bool) (isComplete bool) {
 	type letter struct {
 		index  int
 		answer T
@@ -113,12 +114,13 @@
 	for left := count; left > 0; left-- {
 		got, ok := box.Take(expiry - world.Now())
 		if !ok {
-			return
+			return false
 		}
 		if one := got.(letter); enough(one.index, one.answer) {
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // Machine is the world of a real process. Its tasks run in one conc group.
--- a/permit/office.go
+++ b/permit/office.go
@@ -447,13 +447,14 @@
 // where it knows nothing of that. It needs no round: what an office has was decided, and that
 // a document was taken stays true. A change would take two, and outvote the very daemons that
 // write what it waits for.
-func (office *Office) Again(mark Mark) (applied Applied, isTaken bool) {
+func (office *Office) Again(mark Mark) (applied Applied, isTaken bool, err error) {
 	serial, config, tree := office.Current()
 	since, lapse, isKnown := office.since(serial)
 	if mark == "" || !isKnown || !slices.Contains(config.Taken, mark) {
-		return Applied{}, false
+		return Applied{}, false, nil
 	}
-	return office.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse)), true
+	applied, err = office.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse))
+	return applied, true, err
 }
 
 // Stands acknowledges what a configuration says already, if the one that a majority has does.
@@ -476,7 +477,8 @@
 	if !isKnown {
 		return Applied{}, false, nil // it changes just now
 	}
-	return issuer.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse)), true, nil
+	applied, err = issuer.acknowledge(serial, since, max(tree.Span("permit_ms", ""), lapse))
+	return applied, true, err
 }
 
 // Applied is how a configuration came to be acknowledged.
@@ -492,6 +494,13 @@
 // is written, and what stands is acknowledged again.
 var ErrSame = errors.New("permit: it stands already")
 
+// ErrUnconfirmed: the change is decided, but this process ends before every holder applies it
+// or has no lease any more.
+var ErrUnconfirmed = errors.New("permit: the change was decided, but not confirmed by all data daemons")
+
+// errUnread: this process ended before the records of holders were read.
+var errUnread = errors.New("permit: the records of holders were not read")
+
 // Change revises the configuration and returns once it is acknowledged: every
 // recorded holder applies it, or its permit has expired.
 func (office *Office) Change(expect *uint64, revise func(Config) (Config, error)) (Applied, error) {
@@ -544,14 +553,14 @@
 		// permits under those before it run out from then on, not from now.
 		decided, length = taken, max(length, lapse)
 	}
-	return office.acknowledge(value.Serial, decided, length), nil
+	return office.acknowledge(value.Serial, decided, length)
 }
 
 // acknowledge tells the holders and waits for them, until the expiry of permits under
 // older configurations at the latest, whatever else does not answer: the longest of those
 // has the length, by the clock of its holder. An offer tells the serial alone, and may be
-// made again and again: the holder fetches what it lacks.
-func (office *Office) acknowledge(serial uint64, decided, length time.Duration) Applied {
+// made again and again: the holder fetches what it lacks. The error is ErrUnconfirmed.
+func (office *Office) acknowledge(serial uint64, decided, length time.Duration) (Applied, error) {
 	applied := Applied{Serial: serial}
 	length += time.Duration(Drift * float64(length))
 	expiry := decided + length
@@ -619,13 +628,15 @@
 			applied.Expired = applied.waiting(holders, took)
 			break
 		}
-		loop.Sleep(office.World, min(length/20, expiry-office.World.Now()))
+		if !loop.Sleep(office.World, min(length/20, expiry-office.World.Now())) {
+			return applied, ErrUnconfirmed
+		}
 	}
 	office.guard.Lock()
 	office.acknowledged = max(office.acknowledged, serial)
 	office.guard.Unlock()
 	applied.Took = office.World.Now() - decided
-	return applied
+	return applied, nil
 }
 
 // read is what a reading of the holders' records gave, or an offer meanwhile.
@@ -666,7 +677,7 @@
 	known := office.holderKeys
 	office.guard.Unlock()
 	var listed, early part
-	loop.Gather(office.World, 2, loop.Forever, func(index int) (out part) {
+	isComplete := loop.Gather(office.World, 2, loop.Forever, func(index int) (out part) {
 		if index == 0 {
 			out.keys, out.err = office.Keeper.List(HolderPrefix)
 		} else if len(known) > 0 {
@@ -681,6 +692,9 @@
 		}
 		return false
 	})
+	if !isComplete {
+		return nil, errUnread
+	}
 	if listed.err != nil || len(listed.keys) == 0 {
 		return nil, listed.err
 	}
