--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -116,17 +116,37 @@
 	return judged
 }
 
-// served counts, of the requests to machines in touch for which the newest version has a route, how many
-// were served, by what the route is like.
-func (checker *checker) served() map[string][2]int {
-	out := map[string][2]int{}
+// tally counts requests and those that were served.
+type tally struct{ sent, served int }
+
+func (tally *tally) add(one outcome) {
+	tally.sent++
+	if one.service != "" {
+		tally.served++
+	}
+}
+
+// The rule on added routes binds from so many requests on, and asks for that part of the first routes'
+// share.
+const (
+	leastAdded = 20
+	addedPart  = 0.25
+)
+
+// checkAdded: in calm times a machine serves routes that were added later not much less often than the
+// first ones. It gives the sums over all machines.
+func (checker *checker) checkAdded() (first, added tally) {
+	acknowledged := slices.DeleteFunc(slices.Clone(checker.changes), func(one *change) bool { return one.acknowledged == 0 })
+	ofFirst, ofAdded := map[string]*tally{}, map[string]*tally{}
 	for _, one := range checker.outcomes {
 		if more, isBound := checker.lateness(one, 0); !isBound || more > 0 {
 			continue
 		}
 		var newest *change
-		for _, version := range checker.changes {
-			if version.acknowledged > 0 && version.acknowledged < one.sent-checker.apply && (newest == nil || newest.edition < version.edition) {
+		isChanging := false
+		for _, version := range acknowledged {
+			isChanging = isChanging || version.sent <= one.answered && version.acknowledged+checker.apply > one.sent
+			if version.acknowledged < one.sent && (newest == nil || newest.edition < version.edition) {
 				newest = version
 			}
 		}
@@ -134,23 +154,32 @@
 			continue
 		}
 		route, isFound := newest.document.find(one.host, one.path)
-		if !isFound {
+		before, wasFound := acknowledged[0].document.find(one.host, one.path)
+		isFirst := wasFound && isFound && before.Prefix == route.Prefix
+		// A route that was just taken away may be answered either way.
+		if !isFound || isChanging && one.status == 404 {
 			continue
 		}
-		what := fmt.Sprintf("%s, resume %v, homes %d, shares %d", route.Kind, route.Resume, len(route.Homes), len(route.Shares))
-		count := out[what]
-		count[1]++
-		if one.service != "" {
-			count[0]++
-		} else {
-			key := fmt.Sprintf("%s: status %d", what, one.status)
-			other := out[key]
-			other[1]++
-			out[key] = other
-		}
-		out[what] = count
+		tallies, sum := ofAdded, &added
+		if isFirst {
+			tallies, sum = ofFirst, &first
+		}
+		if tallies[one.machine] == nil {
+			tallies[one.machine] = &tally{}
+		}
+		tallies[one.machine].add(one)
+		sum.add(one)
 	}
-	return out
+	for machine, one := range ofAdded {
+		other := ofFirst[machine]
+		if other == nil || one.sent < leastAdded {
+			continue
+		}
+		if float64(one.served)/float64(one.sent) < addedPart*float64(other.served)/float64(other.sent) {
+			checker.fail("CONFIG: %s served %d of %d requests on added routes, and %d of %d on the first ones", machine, one.served, one.sent, other.served, other.sent)
+		}
+	}
+	return first, added
 }
 
 func (checker *checker) broken(one outcome, what string, version int) {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -29,6 +30,9 @@
 	providerPort  = 8266
 )
 
+// networks is how many loopback networks runs may choose from.
+const networks = 200
+
 // The roles of deploy/system.toml.
 const (
 	control = "controlplane"
@@ -61,7 +65,7 @@
 func sklepik(controls, datas int) deployment {
 	return deployment{
 		bounds: sklepikBounds, zones: []zone{{"pl-central-a", "pl-central"}, {"de-east-b", "de-east"}, {"cz-north-a", "cz-north"}},
-		controls: controls, datas: datas, replicas: 2, hosts: 4, services: []string{"pool-a", "pool-b", "pool-c"}, clients: 3,
+		controls: controls, datas: datas, replicas: 1, hosts: 2, services: []string{"pool-a", "pool-b", "pool-c", "pool-d", "pool-e", "pool-f", "pool-g", "pool-h"}, clients: 3,
 		probePause: 40 * time.Millisecond, changePause: 2500 * time.Millisecond, lag: 800 * time.Millisecond,
 	}
 }
@@ -353,12 +357,18 @@
 	history := newHistory()
 	cluster := &cluster{
 		deployment: deployment, t: t, random: rand.New(rand.NewPCG(seed, 1)), history: history, folder: t.TempDir(), words: words, isOver: make(chan struct{}),
-		// Runs side by side use networks of their own.
-		network: fmt.Sprintf("127.%d", 16+(os.Getpid()+int(seed))%200),
 	}
-	cluster.provider = &provider{history: history, network: cluster.network}
-	if err := cluster.provider.serve(cluster.providerAddress()); err != nil {
-		t.Fatal(err)
+	cluster.provider = &provider{history: history}
+	// Runs side by side use networks of their own.
+	for try := range networks {
+		cluster.network = fmt.Sprintf("127.%d", 16+(os.Getpid()+int(seed)+try)%networks)
+		err := cluster.provider.serve(cluster.providerAddress())
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || try == networks-1 {
+			t.Fatal(err)
+		}
 	}
 	number := 0
 	for _, service := range deployment.services {
--- a/soak/document_test.go
+++ b/soak/document_test.go
@@ -88,7 +88,19 @@
 		lanes = append(lanes, document[name])
 	}
 	depots := []any{}
+	used := map[string]bool{}
+	for _, one := range document {
+		for _, name := range one.services() {
+			used[name] = true
+		}
+		for _, other := range one.Shares {
+			used[other.Service] = true
+		}
+	}
 	for _, name := range services {
+		if !used[name] {
+			continue
+		}
 		depots = append(depots, map[string]any{
 			"name": name, "health_path": "/health", "conn_cap": 2000, "protocol": "h1", "tls": false, "cold_s": 3.0, "cold_per_s": 1000.0,
 			"runtime": map[string]any{"berths": berths, "cache_tokens": cacheTokens, "token_bytes": 18432, "uplink_mbps": 88000.0, "spacing": 4, "models": []any{map[string]any{"name": "m"}}},
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -66,7 +66,6 @@
 // provider is the stand-in of the platform's list, with the replicas that it lists.
 type provider struct {
 	history  *history
-	network  string
 	guard    sync.Mutex
 	replicas []*replica
 	lives    int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,7 @@
 	judged := checker.checkOutcomes()
 	checker.checkReadings()
 	checker.checkRaces()
+	first, added := checker.checkAdded()
 	acknowledged := 0
 	for _, one := range checker.changes {
 		if one.acknowledged > 0 {
@@ -80,9 +81,7 @@
 		t.Errorf("vacuous: %d answers judged, %d changes acknowledged", judged, acknowledged)
 	}
 	t.Logf("seed %d: %d of %d answers judged, %d of %d changes acknowledged, %d readings, %d disturbances", seed, judged, len(checker.outcomes), acknowledged, len(checker.changes), len(checker.readings), len(checker.disturbances))
-	for what, count := range checker.served() {
-		t.Logf("served: %s: %d of %d", what, count[0], count[1])
-	}
+	t.Logf("seed %d: served in calm times: %d of %d on first routes, %d of %d on added ones", seed, first.served, first.sent, added.served, added.sent)
 	if last := checker.latest; last.behind > 0 {
 		t.Logf("seed %d: latest: %s (life %d) went by an older version than %d for %v after that was acknowledged, at %.3f", seed, last.outcome.machine, last.outcome.life, last.edition, last.behind, last.outcome.sent.Seconds())
 	}
