--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -50,9 +50,11 @@
 	leaving  atomic.Bool
 	// wasMoving tells whether versions moved in the view before.
 	wasMoving atomic.Bool
-	attended  attended
-	limited   atomic.Pointer[limited]
-	inquirer  *loop.Waker
+	// logged is the version of the configuration that the log named last.
+	logged   atomic.Uint64
+	attended attended
+	limited  atomic.Pointer[limited]
+	inquirer *loop.Waker
 }
 
 // New makes a daemon; it has no permit yet.
@@ -79,6 +81,7 @@
 	daemon.Holder = permit.NewHolder(permit.HolderOptions{
 		World: options.World, Client: daemon.Client, Self: daemon.Self,
 		Changed: func(view *permit.View) {
+			daemon.logConfiguration(view)
 			daemon.Decider.Wake()
 			if len(view.Unkept) > 0 {
 				daemon.inquirer.Wake()
@@ -94,6 +97,17 @@
 	return daemon
 }
 
+// logConfiguration names each version of the configuration as it comes into force here. With the
+// control daemons' lines on changes that have ended it tells which daemon followed one late, and by how much.
+func (daemon *Daemon) logConfiguration(view *permit.View) {
+	before := daemon.logged.Swap(view.Serial)
+	if view.Tree == nil || before == view.Serial {
+		return
+	}
+	daemon.Log.Info("a configuration is in force", zap.Uint64("serial", view.Serial), zap.Uint64("label", view.Tree.Label()), zap.Uint64("before", before),
+		zap.Duration("lease_left", view.Expiry-daemon.World.Now()), zap.Bool("stopping", daemon.leaving.Load()))
+}
+
 func (daemon *Daemon) span() time.Duration {
 	var tree *settings.Tree
 	if daemon.Holder != nil {
--- /dev/null
+++ b/permit/storm_test.go
@@ -0,0 +1,119 @@
+package permit
+
+import (
+	"fmt"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"swifttiller/loop"
+	"swifttiller/session"
+	"swifttiller/sim"
+)
+
+// slowControl is a control daemon that takes its time for each fetch.
+type slowControl struct {
+	issuer *Office
+	node   *sim.Node
+	delay  time.Duration
+}
+
+// Renew grants a lease under the newest configuration.
+func (control *slowControl) Renew(_ Ask, grant *Grant) error {
+	serial, _, tree := control.issuer.Current()
+	*grant = Grant{Serial: serial, Length: tree.Span("permit_ms", "")}
+	return nil
+}
+
+// Fetch brings the configuration that is the newest when it is asked for, late.
+func (control *slowControl) Fetch(want Want, edition *Edition) error {
+	if err := control.issuer.Fetch(want, edition); err != nil {
+		return err
+	}
+	loop.Sleep(control.node, control.delay)
+	return nil
+}
+
+// offered is the service of a data daemon that takes offers.
+type offered struct{ holder *Holder }
+
+// Take takes an offer.
+func (offered offered) Take(offer Offer, taken *Taken) error {
+	return offered.holder.Take(offer, taken)
+}
+
+// TestChangesInQuickSuccessionReachSlowFetches guards against a data daemon that serves on under an old
+// configuration while changes follow one another, as each fetch takes longer than an offer waits and
+// brings a newer configuration than the lease names.
+func TestChangesInQuickSuccessionReachSlowFetches(t *testing.T) {
+	const (
+		lease   = 1800 * time.Millisecond
+		delay   = 700 * time.Millisecond // longer than an offer waits, shorter than a fetch may take
+		gap     = 330 * time.Millisecond
+		bound   = 3 * time.Second // from a change's acknowledgement on
+		changes = 40
+	)
+	world := sim.New(1)
+	defer world.Close()
+	control := &slowControl{delay: delay}
+	document := func(label int) []byte {
+		return fmt.Appendf(nil, `{"label":%d,"whole":{"limits":{"permit_ms":%d,"alone_ms":3600000}},"regions":{"a":{"zones":{"a-1":{}}}}}`, label, lease.Milliseconds())
+	}
+	decided := map[uint64]time.Duration{}
+	change := func(serial uint64) {
+		if err := control.issuer.take(serial, Config{Document: document(int(serial))}); err != nil {
+			t.Fatal(err)
+		}
+		decided[serial] = world.Now()
+	}
+	world.Start("control", func(node *sim.Node) {
+		control.issuer, control.node = &Office{Options: Options{World: node}}, node
+		server := rpc.NewServer()
+		if err := server.RegisterName("Permit", control); err != nil {
+			panic(err)
+		}
+		node.Serve(server)
+	})
+	world.Run(time.Millisecond)
+	change(1)
+	var holder *Holder
+	world.Start("data", func(node *sim.Node) {
+		client := &session.Client{World: node, Net: sim.Net{Node: node}, Seeds: func() []string { return []string{"control"} }, Span: func() time.Duration { return time.Second }}
+		holder = NewHolder(HolderOptions{World: node, Client: client, Self: func() session.Member { return session.Member{Name: "data"} }})
+		server := rpc.NewServer()
+		if err := server.RegisterName("Permit", offered{holder}); err != nil {
+			panic(err)
+		}
+		node.Serve(server)
+		holder.Run()
+	})
+	world.Run(5 * time.Second)
+	if holder.View().Serial != 1 {
+		t.Fatal("vacuous: the data daemon has no configuration")
+	}
+	worst := time.Duration(0)
+	for serial := uint64(2); serial < 2+changes; serial++ {
+		change(serial)
+		control.node.Go(func() {
+			// As an acknowledgement does: again and again, until leases are over.
+			for expiry := control.node.Now() + lease + lease/20; control.node.Now() < expiry; {
+				taken := new(Taken)
+				timeout := lease / 4
+				if (sim.Net{Node: control.node}).Call("data", "Permit.Take", Offer{Serial: serial, Patience: timeout * 4 / 5}, taken, timeout) == nil && taken.Serial >= serial {
+					return
+				}
+				loop.Sleep(control.node, lease/20)
+			}
+		})
+		world.Run(gap)
+		oldest := world.Now()
+		for at := holder.View().Serial + 1; at <= serial; at++ {
+			oldest = min(oldest, decided[at])
+		}
+		worst = max(worst, world.Now()-oldest)
+	}
+	t.Logf("at the most %v behind", worst)
+	if most := lease + lease/20 + bound; worst > most {
+		t.Errorf("the data daemon was %v behind, more than %v", worst, most)
+	}
+}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -23,6 +23,9 @@
 	random  *rand.Rand
 	// limits of what is worst: the pause between troubles, and how long a freeze lasts.
 	pause, freeze time.Duration
+	// storm is how long troubles go on, and calm how long there are none then: long enough for the bounds
+	// of calm times to hold again.
+	storm, calm time.Duration
 	// barredUntil is until when no control daemon may be disturbed, as a disk was lost and its copies are
 	// being made anew.
 	barredUntil time.Duration
@@ -88,7 +91,13 @@
 	for _, one := range troubles {
 		total += one.weight
 	}
+	calm := faults.cluster.history.now() + faults.storm
 	for faults.cluster.wait(time.Duration(faults.random.Int64N(int64(faults.pause))) + faults.pause/10) {
+		if faults.calm > 0 && faults.cluster.history.now() > calm {
+			faults.cluster.history.note("calm")
+			faults.cluster.wait(faults.calm)
+			calm = faults.cluster.history.now() + faults.storm
+		}
 		draw := faults.random.IntN(total)
 		for _, one := range troubles {
 			if draw -= one.weight; draw < 0 {
