--- a/permit/ending_test.go
+++ b/permit/ending_test.go
@@ -138,3 +138,21 @@
 	}
 	group.Wait()
 }
+
+// TestHoldersOfAProcessThatEnds guards against "there are no data daemons" as the answer to a reading of
+// their records that the end of the process cut short.
+func TestHoldersOfAProcessThatEnds(t *testing.T) {
+	issuer := newIssuer(t)
+	if _, err := issuer.change(1); err != nil {
+		t.Fatal(err)
+	}
+	grant := new(permit.Grant)
+	ask := permit.Ask{Holder: session.Member{Name: "data", Incarnation: "1", Role: session.Data, Wire: "data"}}
+	if err := issuer.Renew(ask, grant); err != nil || grant.Declined != "" {
+		t.Fatal(err, grant.Declined)
+	}
+	issuer.machine.End()
+	if holders, err := issuer.Holders(); err == nil && len(holders) == 0 {
+		t.Error("old config: a reading that was cut short tells of no data daemons, without an error")
+	}
+}
--- a/permit/storm_test.go
+++ b/permit/storm_test.go
@@ -96,7 +96,7 @@
 		change(serial)
 		control.node.Go(func() {
 			// As an acknowledgement does: again and again, until leases are over.
-			for expiry := control.node.Now() + lease + lease/20; control.node.Now() < expiry; {
+			for deadline := control.node.Now() + lease + lease/20; control.node.Now() < deadline; {
 				taken := new(Taken)
 				timeout := lease / 4
 				if (sim.Net{Node: control.node}).Call("data", "Permit.Take", Offer{Serial: serial, Patience: timeout * 4 / 5}, taken, timeout) == nil && taken.Serial >= serial {
