A stop is not lost behind SIGHUPs that come while the settings are reread

What callers saw: a process that went on after SIGTERM until it was killed at the end of its grace, with its requests cut, where SIGHUPs in series and SIGTERM overlapped.

Cause: both signals shared a channel of four; the runtime drops a signal for which there is no room, and nothing is taken out while the settings are being reread. Class: a signal that must not be lost behind those that may. They have a channel each now, and rereading runs beside the wait for the stop.

--- a/serve/serve.go
+++ b/serve/serve.go
@@ -30,16 +30,19 @@
 // Process is a running process: its settings, world, net and log.
 type Process struct {
 	*settings.Process
-	Live        *settings.Live
-	level       zap.AtomicLevel
-	retrace     func(path string) error
-	told        chan os.Signal // from the very start, as a SIGHUP may come early
-	file        string         // that the settings come from, if any
-	read        Stamp          // of the file as it was first read
-	World       *loop.Machine
-	Net         *wire.TCP
-	Log         *zap.Logger
-	Incarnation string
+	Live    *settings.Live
+	level   zap.AtomicLevel
+	retrace func(path string) error
+	// stops and reloads get the signals to stop and to reread the settings, from the very start, as
+	// either may come early. They are apart, so that no number of the one hides the other: the
+	// runtime drops a signal for which there is no room.
+	stops, reloads chan os.Signal
+	file           string // that the settings come from, if any
+	read           Stamp  // of the file as it was first read
+	World          *loop.Machine
+	Net            *wire.TCP
+	Log            *zap.Logger
+	Incarnation    string
 }
 
 // Incarnation names one life of a process; it never comes again.
@@ -106,11 +109,12 @@
 		return nil, 2
 	}
 	log := Logger(level).With(zap.String("daemon", process.Name), zap.String("incarnation", incarnation))
-	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, told: make(chan os.Signal, 4), file: file, read: stamp}
+	out := &Process{Process: process, World: world, Net: &wire.TCP{World: world}, Log: log, Incarnation: incarnation, level: level, stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), file: file, read: stamp}
 	if process.Count {
 		out.Net.Counter = new(wire.Counter)
 	}
-	signal.Notify(out.told, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(out.stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(out.reloads, syscall.SIGHUP)
 	world.Panicked = func(trouble any, stack []byte) {
 		log.Fatal("a task panicked", zap.Any("trouble", trouble), zap.ByteString("stack", stack))
 	}
@@ -190,12 +194,15 @@
 	<-told.Done()
 }
 
-// Wait waits for the word to stop, and reloads on SIGHUP meanwhile.
+// Wait waits for the signal to stop, and reloads on SIGHUP meanwhile. What comes while the
+// settings are reread has them reread once more.
 func (process *Process) Wait() {
-	for one := range process.told {
-		if one != syscall.SIGHUP {
-			return
+	process.World.Go(func() {
+		for range process.reloads {
+			process.Reload()
 		}
-		process.Reload()
-	}
+	})
+	<-process.stops
+	signal.Stop(process.reloads)
+	close(process.reloads)
 }
--- /dev/null
+++ b/serve/signal_test.go
@@ -0,0 +1,62 @@
+package serve
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"swifttiller/loop"
+	"swifttiller/settings"
+)
+
+// TestAStopIsNotLostBehindReloads guards against a process that goes on after SIGTERM, as more SIGHUPs
+// than it had room for came while its settings were being reread.
+func TestAStopIsNotLostBehindReloads(t *testing.T) {
+	reading, release := make(chan struct{}, 100), make(chan struct{})
+	process := &Process{
+		World: loop.NewMachine(), Log: zap.NewNop(), stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1),
+		Live: settings.NewLive(settings.LiveOptions{Read: func() (*settings.Process, error) {
+			reading <- struct{}{}
+			<-release
+			return nil, errors.New("nothing to read")
+		}}),
+	}
+	signal.Notify(process.stops, syscall.SIGTERM)
+	signal.Notify(process.reloads, syscall.SIGHUP)
+	defer signal.Stop(process.stops)
+	defer signal.Stop(process.reloads)
+	// What the runtime hands over last shows that it has handed over what came before.
+	marks := make(chan os.Signal, 1)
+	signal.Notify(marks, syscall.SIGUSR1)
+	defer signal.Stop(marks)
+	send := func(one syscall.Signal) {
+		for _, each := range []syscall.Signal{one, syscall.SIGUSR1} {
+			if err := syscall.Kill(os.Getpid(), each); err != nil {
+				t.Fatal(err)
+			}
+		}
+		<-marks
+	}
+	ended := make(chan struct{})
+	go func() {
+		process.Wait()
+		close(ended)
+	}()
+	send(syscall.SIGHUP)
+	<-reading
+	for range 10 {
+		send(syscall.SIGHUP)
+	}
+	send(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the process goes on")
+	}
+	close(release)
+}
