--- a/settings/routes.go
+++ b/settings/routes.go
@@ -400,7 +400,11 @@
 	shares, known := got.get("shares")
 	sum := 0.0
 	for index, share := range shares.Array() {
-		got := members(share, &spot{at, "shares", index}, shareShapes, problems)
+		place := &spot{at, "shares", index}
+		got := members(share, place, shareShapes, problems)
+		if model, known := got.get("model"); known && model.Str == "" {
+			place.tell(problems, "model", "is empty")
+		}
 		route.Shares = append(route.Shares, Share{Model: got.text("model"), Weight: got.number("weight")})
 		sum += got.number("weight")
 	}
