--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -198,8 +198,9 @@
 	} else {
 		provider.pause.Store(int64(time.Duration(300+faults.random.IntN(1500)) * time.Millisecond))
 	}
+	span := time.Duration(1+faults.random.IntN(4)) * time.Second
 	faults.cluster.group.Go(func() {
-		faults.cluster.wait(time.Duration(1+faults.random.IntN(4)) * time.Second)
+		faults.cluster.wait(span)
 		provider.isDown.Store(false)
 		provider.pause.Store(0)
 	})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,7 +93,7 @@
 	cluster.report(t, seed)
 }
 
-// report tells what was broken, with the run's timeline.
+// report tells what was broken, with the run's timeline, and keeps that and the logs where it is asked to.
 func (cluster *cluster) report(t *testing.T, seed uint64) {
 	logs, _ := filepath.Glob(filepath.Join(cluster.folder, "*", "log"))
 	for _, name := range logs {
@@ -105,19 +105,27 @@
 	for _, one := range cluster.history.failures {
 		t.Errorf("seed %d: %s", seed, one)
 	}
+	timeline := strings.Join(cluster.history.timeline(), "\n")
+	if t.Failed() {
+		t.Logf("timeline:\n%s", timeline)
+	}
 	if *keepFlag == "" {
 		return
 	}
 	folder := filepath.Join(*keepFlag, t.Name())
-	_ = os.MkdirAll(folder, 0o700)
-	var text []byte
-	for _, line := range cluster.history.timeline() {
-		text = append(append(text, line...), '\n')
+	keep := func(name string, text []byte) {
+		if err := os.WriteFile(filepath.Join(folder, name), text, 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		t.Error(err)
+		return
 	}
-	_ = os.WriteFile(filepath.Join(folder, "timeline"), text, 0o600)
+	keep("timeline", []byte(timeline))
 	for _, name := range logs {
 		if text, err := os.ReadFile(name); err == nil {
-			_ = os.WriteFile(filepath.Join(folder, filepath.Base(filepath.Dir(name))+".log"), text, 0o600)
+			keep(filepath.Base(filepath.Dir(name))+".log", text)
 		}
 	}
 }
