--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -81,7 +81,6 @@
 	daemon.Holder = permit.NewHolder(permit.HolderOptions{
 		World: options.World, Client: daemon.Client, Self: daemon.Self,
 		Changed: func(view *permit.View) {
-			daemon.logConfiguration(view)
 			daemon.Decider.Wake()
 			if len(view.Unkept) > 0 {
 				daemon.inquirer.Wake()
@@ -97,17 +96,6 @@
 	return daemon
 }
 
-// logConfiguration names each version of the configuration as it comes into force here. With the
-// control daemons' lines on changes that have ended it tells which daemon followed one late, and by how much.
-func (daemon *Daemon) logConfiguration(view *permit.View) {
-	before := daemon.logged.Swap(view.Serial)
-	if view.Tree == nil || before == view.Serial {
-		return
-	}
-	daemon.Log.Info("a configuration is in force", zap.Uint64("serial", view.Serial), zap.Uint64("label", view.Tree.Label()), zap.Uint64("before", before),
-		zap.Duration("lease_left", view.Expiry-daemon.World.Now()), zap.Bool("stopping", daemon.leaving.Load()))
-}
-
 func (daemon *Daemon) span() time.Duration {
 	var tree *settings.Tree
 	if daemon.Holder != nil {
@@ -189,20 +177,30 @@
 	if daemon.Probe != nil {
 		daemon.World.Go(daemon.inquire)
 	}
-	daemon.World.Go(func() {
-		had := false
-		loop.Every(daemon.World, func() time.Duration { return daemon.span() / 6 }, func() bool {
-			view := daemon.Holder.View()
-			if has := view.Stands(daemon.World.Now()); has != had {
-				had = has
-				reason := ""
-				if declined := daemon.Holder.Declined.Load(); declined != nil {
-					reason = *declined
-				}
-				daemon.Log.Info("permit", zap.Bool("stands", has), zap.Uint64("serial", view.Serial), zap.String("reason", reason))
+	daemon.World.Go(daemon.logView)
+}
+
+// logView logs leases that begin or end, and each version of the configuration that it finds in force: with
+// the control daemons' lines on changes that have ended, it tells which daemon followed one late. It runs by
+// itself, as a log that is not written in time must not hold up the view.
+func (daemon *Daemon) logView() {
+	stood, before := false, uint64(0)
+	loop.Every(daemon.World, func() time.Duration { return daemon.span() / 6 }, func() bool {
+		view := daemon.Holder.View()
+		if stands := view.Stands(daemon.World.Now()); stands != stood {
+			stood = stands
+			reason := ""
+			if declined := daemon.Holder.Declined.Load(); declined != nil {
+				reason = *declined
 			}
-			return true
-		})
+			daemon.Log.Info("permit", zap.Bool("stands", stands), zap.Uint64("serial", view.Serial), zap.String("reason", reason))
+		}
+		if view.Tree != nil && view.Serial != before {
+			daemon.Log.Info("a configuration is in force", zap.Uint64("serial", view.Serial), zap.Uint64("label", view.Tree.Label()), zap.Uint64("before", before),
+				zap.Duration("lease_left", view.Expiry-daemon.World.Now()), zap.Bool("stopping", daemon.leaving.Load()))
+			before = view.Serial
+		}
+		return true
 	})
 }
 
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -159,7 +159,7 @@
 
 // run changes the configuration until the run is over.
 func (operator *operator) run() {
-	for operator.cluster.wait(time.Duration(operator.random.Int64N(int64(operator.cluster.changePause)) + 1)) {
+	for operator.cluster.wait(operator.pause()) {
 		switch draw := operator.random.IntN(20); {
 		case draw < 3:
 			operator.race()
@@ -177,6 +177,19 @@
 	}
 }
 
+// longPause is how much longer than the bound for changes an operator pauses now and then: a version that a
+// data daemon misses shows only while none follows that brings it along.
+const longPause = 3 * time.Second
+
+// pause draws the time until the next change.
+func (operator *operator) pause() time.Duration {
+	short := time.Duration(operator.random.Int64N(int64(operator.cluster.changePause)) + 1)
+	if operator.random.IntN(3) == 0 {
+		return operator.cluster.apply + time.Duration(operator.random.Int64N(int64(longPause)))
+	}
+	return short
+}
+
 // change makes one change on top of the present configuration.
 func (operator *operator) change() {
 	edition := operator.edition + 1 + operator.random.IntN(4)
