--- a/dataplane/daemon.go
+++ b/dataplane/daemon.go
@@ -50,11 +50,9 @@
 	leaving  atomic.Bool
 	// wasMoving tells whether versions moved in the view before.
 	wasMoving atomic.Bool
-	// logged is the version of the configuration that the log named last.
-	logged   atomic.Uint64
-	attended attended
-	limited  atomic.Pointer[limited]
-	inquirer *loop.Waker
+	attended  attended
+	limited   atomic.Pointer[limited]
+	inquirer  *loop.Waker
 }
 
 // New makes a daemon; it has no permit yet.
