--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -333,12 +334,12 @@
 	cluster := machine.cluster
 	cluster.guard.Lock()
 	defer cluster.guard.Unlock()
-	for index, one := range cluster.machines {
-		if one == machine {
-			cluster.machines = append(cluster.machines[:index:index], cluster.machines[index+1:]...)
-			return
-		}
-	}
+	cluster.machines = without(cluster.machines, machine)
+}
+
+// without is a list without one of its members; who has the list before keeps it as it was.
+func without[T comparable](list []T, one T) []T {
+	return slices.DeleteFunc(slices.Clone(list), func(other T) bool { return other == one })
 }
 
 // launch makes the machine's folder and starts it.
--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -95,12 +95,7 @@
 	_ = one.server.Close()
 	provider.guard.Lock()
 	defer provider.guard.Unlock()
-	for index, other := range provider.replicas {
-		if other == one {
-			provider.replicas = append(provider.replicas[:index:index], provider.replicas[index+1:]...)
-			return
-		}
-	}
+	provider.replicas = without(provider.replicas, one)
 }
 
 // all lists the replicas.
