review 1: a stopping data daemon cuts streams that it took late (LOST)

Cause: Daemon.Stop takes new requests for half of the grace, 4 s of 8, though what is sent later than 3 s after a SIGTERM has no excuse if the end of the process cuts it.

--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	held    = 0
+	broken  = 1
+	skipped = 2
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		os.Exit(skipped)
+	}
+	run, isKnown := map[string]func(*fleet, bool) (int, error){"late": late, "unframed": unframed, "parts": parts}[os.Args[1]]
+	if !isKnown {
+		os.Exit(skipped)
+	}
+	fleet, err := newFleet(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(skipped)
+	}
+	code, err := run(fleet, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		fleet.note("the case could not run: %v", err)
+		code = skipped
+	}
+	fleet.note("exit code %d", code)
+	fleet.finish()
+	os.Exit(code)
+}
