--- a/review/stand/client_test.go
+++ b/review/stand/client_test.go
@@ -52,7 +52,8 @@
 	failed    map[string]time.Time
 }
 
-var requestNumber atomic.Int64
+// requestNumber counts the requests, and unconnected those that found no daemon to go to.
+var requestNumber, unconnected atomic.Int64
 
 // journal keeps the tries of all clients.
 type journal struct {
@@ -163,6 +164,7 @@
 func (client *client) send(random *rand.Rand, tries *journal) {
 	conn, err := client.connect(random)
 	if err != nil {
+		unconnected.Add(1)
 		return
 	}
 	id := fmt.Sprintf("%016x", requestNumber.Add(1))
--- a/review/stand/fleet_test.go
+++ b/review/stand/fleet_test.go
@@ -50,6 +50,7 @@
 // machine is one machine with one role. Its process is started again when it ends.
 type machine struct {
 	name, role, ip, folder string
+	number                 int
 	zone                   zone
 	fleet                  *fleet
 
@@ -69,6 +70,7 @@
 	isOver          chan struct{}
 	group           sync.WaitGroup
 	platform        *platform
+	hasLinks        bool // other regions' control machines are reached over links
 }
 
 // now is the time since the run began.
@@ -114,7 +116,7 @@
 	number := 0
 	add := func(role string, at zone) {
 		number++
-		one := &machine{name: fmt.Sprintf("%s-%s-%d", role, at.name, number), role: role, zone: at, fleet: out, ip: fmt.Sprintf("%s.1.%d", out.network, number), isFirst: true}
+		one := &machine{name: fmt.Sprintf("%s-%s-%d", role, at.name, number), role: role, zone: at, number: number, fleet: out, ip: fmt.Sprintf("%s.1.%d", out.network, number), isFirst: true}
 		one.folder = filepath.Join(temporary, one.name)
 		out.machines = append(out.machines, one)
 	}
@@ -138,7 +140,11 @@
 	}
 	var seeds []string
 	for _, one := range fleet.of("controlplane") {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", one.ip, controlPort))
+		address := one.ip
+		if fleet.hasLinks && one.zone.region != machine.zone.region {
+			address = linkAddress(machine, one)
+		}
+		seeds = append(seeds, fmt.Sprintf("%s:%d", address, controlPort))
 	}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", machine.ip, port) }
 	class, sockets, state, quota := "counter", map[string]string{"counter": at(counterPort), "ready_probe": at(readyPort), "directory_port": at(directoryPort)}, any(nil), 0.4
@@ -267,13 +273,8 @@
 // begin starts the replicas, all processes and the first configuration, and waits until every data
 // daemon is ready.
 func (fleet *fleet) begin(replicasPerZone int, lanes []lane, answer answerer) (*operator, error) {
-	for at, zone := range zones {
-		for number := range replicasPerZone {
-			address := fmt.Sprintf("%s.%d.%d:%d", fleet.network, 100+at, number+1, replicaPort)
-			if err := fleet.platform.add(zone, address, "v1", answer); err != nil {
-				return nil, err
-			}
-		}
+	if err := fleet.addReplicas(replicasPerZone, answer); err != nil {
+		return nil, err
 	}
 	for _, one := range fleet.machines {
 		if err := one.run(); err != nil {
@@ -297,6 +298,29 @@
 	return operator, nil
 }
 
+// addReplicas starts the replicas.
+func (fleet *fleet) addReplicas(perZone int, answer answerer) error {
+	for at, zone := range zones {
+		for number := range perZone {
+			address := fmt.Sprintf("%s.%d.%d:%d", fleet.network, 100+at, number+1, replicaPort)
+			if err := fleet.platform.add(zone, address, "v1", answer); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// pid is the id of the machine's present process, zero if there is none.
+func (machine *machine) pid() int {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	if machine.process == nil {
+		return 0
+	}
+	return machine.process.Pid
+}
+
 var probeClient = &http.Client{Timeout: time.Second}
 
 func isReady(machine *machine) bool {
