--- a/review/stand/late_test.go
+++ b/review/stand/late_test.go
@@ -25,9 +25,22 @@
 	// lastRead is the time after a SIGTERM up to which a request may end with the grace period.
 	lastRead = 3 * time.Second
 	margin   = 50 * time.Millisecond
+	// victims is how many machines are stopped, one at a time, with a rest behind each.
+	victims = 2
+	rest    = 2 * time.Second
 )
 
-// late tells one data daemon to stop while clients send streams, and checks the rule LOST.
+// stop tells the machine's process to stop as the platform does: SIGTERM, and SIGKILL after grace_s.
+func (machine *machine) stop() {
+	told := machine.pid()
+	machine.signal(syscall.SIGTERM)
+	<-time.After(grace)
+	if told != 0 && machine.pid() == told {
+		machine.signal(syscall.SIGKILL)
+	}
+}
+
+// late tells two data daemons to stop, in turn, while clients send streams, and checks the rule LOST.
 func late(fleet *fleet, isTroubled bool) (int, error) {
 	lanes := []lane{{Name: "r-check", Host: host, Prefix: "/lohu930/", Kind: "streamed", Timeout: 10000, Target: 1000, Gap: 300, Urgency: 1, Depot: service, Tries: 1, Sticky: true, Homes: []string{}}}
 	_, err := fleet.begin(6, lanes, func(replica *replica, conn net.Conn, request *http.Request, body string, number int) (bool, bool) {
@@ -51,33 +64,31 @@
 	tries := &journal{}
 	var group sync.WaitGroup
 	begin := fleet.now()
-	until := begin + 4*time.Second + grace
+	until := begin + 4*time.Second + victims*(grace+rest)
 	for _, one := range clients(fleet, 18, shape) {
 		group.Go(func() { one.run(until, 250*time.Millisecond, tries, &group) })
 	}
 	<-time.After(4 * time.Second)
-	victim := fleet.of("dataplane")[0]
-	told := fleet.now()
-	if isTroubled {
-		victim.signal(syscall.SIGTERM)
-		// As the platform does: SIGKILL after grace_s, to the process that was told to stop.
-		victim.mutex.Lock()
-		process := victim.process
-		victim.mutex.Unlock()
-		<-time.After(grace - (fleet.now() - told))
-		victim.mutex.Lock()
-		if victim.process == process && process != nil {
-			fleet.note("%s: killed after grace_s", victim.name)
-			_ = process.Kill()
+	// Two machines are stopped in turn, each once the one before it has been started again.
+	stops := map[string]time.Duration{}
+	for _, victim := range fleet.of("dataplane")[:victims] {
+		if isTroubled {
+			stops[fmt.Sprintf("%s:%d", victim.ip, counterPort)] = fleet.now()
+			victim.stop()
+		} else {
+			<-time.After(grace)
 		}
-		victim.mutex.Unlock()
+		<-time.After(rest)
 	}
 	group.Wait()
-	door := fmt.Sprintf("%s:%d", victim.ip, counterPort)
 	whole, refused, excused, lost := 0, 0, 0, 0
 	for _, one := range tries.tries {
 		line, met := fleet.describe(one)
-		line = fmt.Sprintf("%s: %s, sent %.3f s after the SIGTERM", strings.Fields(one.text)[0], line, (one.sent - told).Seconds())
+		told, isStopped := stops[one.address]
+		line = fmt.Sprintf("%s: %s", strings.Fields(one.text)[0], line)
+		if isStopped {
+			line += fmt.Sprintf(", sent %.3f s after the SIGTERM", (one.sent - told).Seconds())
+		}
 		isAtWork := slices.ContainsFunc(met, func(met arrival) bool {
 			return met.at <= told+grace && (met.ended == 0 || met.ended >= told+grace-grace/6)
 		})
@@ -87,7 +98,7 @@
 		case one.err == nil:
 			refused++
 			line = "not a success: " + line
-		case !isTroubled, one.address != door, len(met) == 0, one.ended-one.sent >= limit-margin, one.ended > told+grace+time.Second:
+		case !isStopped, one.ended < told, len(met) == 0, one.ended-one.sent >= limit-margin, one.ended > told+grace+time.Second:
 			excused++
 			line = "cut, excused: " + line
 		case isAtWork && one.sent <= told+lastRead+margin:
