--- a/review/stand/fleet_test.go
+++ b/review/stand/fleet_test.go
@@ -359,14 +359,20 @@
 type operator struct {
 	fleet   *fleet
 	edition int
+	// also are services that configurations name beside that of their first route.
+	also []string
 }
 
 // replace sends a configuration until it is acknowledged.
 func (operator *operator) replace(lanes []lane, within time.Duration) error {
+	depots := []any{}
+	for _, name := range append([]string{lanes[0].Depot}, operator.also...) {
+		depots = append(depots, map[string]any{"name": name, "health_path": "/health", "conn_cap": 360, "protocol": "h1", "tls": false, "cold_s": 3.0, "cold_per_s": 26.0,
+			"runtime": map[string]any{"berths": 64, "cache_tokens": 348621, "token_bytes": 18432, "uplink_mbps": 88000.0, "spacing": 4, "models": []any{map[string]any{"name": "m"}}}})
+	}
 	body, err := json.Marshal(map[string]any{
 		"edition": operator.edition + 1, "lanes": lanes,
-		"depots": []any{map[string]any{"name": service, "health_path": "/health", "conn_cap": 360, "protocol": "h1", "tls": false, "cold_s": 3.0, "cold_per_s": 26.0,
-			"runtime": map[string]any{"berths": 64, "cache_tokens": 348621, "token_bytes": 18432, "uplink_mbps": 88000.0, "spacing": 4, "models": []any{map[string]any{"name": "m"}}}}},
+		"depots": depots,
 		"limits": map[string]int{"header_bytes": 16384, "body_bytes": 4194304, "header_ms": 3000, "idle_ms": 15000},
 	})
 	if err != nil {
--- a/review/stand/main_test.go
+++ b/review/stand/main_test.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
 		os.Exit(skipped)
 	}
-	run, isKnown := map[string]func(*fleet, bool) (int, error){"late": late, "unframed": unframed, "parts": parts, "boot": boot}[os.Args[1]]
+	run, isKnown := map[string]func(*fleet, bool) (int, error){"late": late, "unframed": unframed, "parts": parts, "boot": boot, "dropped": dropped}[os.Args[1]]
 	if !isKnown {
 		os.Exit(skipped)
 	}
--- a/review/stand/platform_test.go
+++ b/review/stand/platform_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,8 +18,8 @@
 
 // arrival is a request that a replica has run.
 type arrival struct {
-	id, replica, method, uri, body string
-	at                             time.Duration
+	id, replica, version, method, uri, body string
+	at                                      time.Duration
 	// ended is when the replica had written its whole answer or found its connection closed.
 	ended   time.Duration
 	isWhole bool
@@ -30,11 +31,15 @@
 
 // replica is a stand-in for a model replica.
 type replica struct {
-	id, address, version string
-	zone                 zone
-	platform             *platform
-	answer               answerer
-	running              atomic.Int64
+	id, service, address, version string
+	zone                          zone
+	platform                      *platform
+	answer                        answerer
+	running                       atomic.Int64
+	listener                      net.Listener
+	startedAt                     time.Duration
+	coldFor                       time.Duration
+	isLeaving                     bool // under the platform's mutex
 }
 
 // platform keeps the list of replicas, and what they have run.
@@ -63,8 +68,12 @@
 	platform.mutex.Lock()
 	for _, one := range platform.replicas {
 		if zone == "" || one.zone.name == zone {
+			state := "in_service"
+			if one.isLeaving {
+				state = "winding_down"
+			}
 			instances = append(instances, map[string]any{
-				"id": one.id, "depot": service, "address": one.address, "zone": one.zone.name, "edition": one.version, "berths": 64, "state": "in_service", "cold_left_ms": 0,
+				"id": one.id, "depot": one.service, "address": one.address, "zone": one.zone.name, "edition": one.version, "berths": 64, "state": state, "cold_left_ms": one.coldLeft().Milliseconds(),
 				"phase": "both", "models": []any{map[string]any{"name": "m", "edition": 1, "adapters": []any{}}},
 			})
 		}
@@ -74,13 +83,43 @@
 	_ = json.NewEncoder(writer).Encode(map[string]any{"instances": instances, "next_token": nil})
 }
 
-// add starts a replica and lists it.
+// coldLeft is for how long the replica is still cold.
+func (replica *replica) coldLeft() time.Duration {
+	return max(0, replica.startedAt+replica.coldFor-replica.platform.fleet.now())
+}
+
+// leave lists the replicas as leaving.
+func (platform *platform) leave(replicas []*replica) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	for _, one := range replicas {
+		one.isLeaving = true
+	}
+}
+
+// end takes the replicas off the list and closes their sockets.
+func (platform *platform) end(replicas []*replica) {
+	platform.mutex.Lock()
+	platform.replicas = slices.DeleteFunc(slices.Clone(platform.replicas), func(one *replica) bool { return slices.Contains(replicas, one) })
+	platform.mutex.Unlock()
+	for _, one := range replicas {
+		one.listener.Close()
+	}
+}
+
+// add starts a replica of the usual service, warm, and lists it.
 func (platform *platform) add(zone zone, address, version string, answer answerer) error {
-	listener, err := net.Listen("tcp", address)
+	_, err := platform.start(&replica{service: service, zone: zone, address: address, version: version, answer: answer})
+	return err
+}
+
+// start starts a replica and lists it.
+func (platform *platform) start(one *replica) (*replica, error) {
+	listener, err := net.Listen("tcp", one.address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	one := &replica{id: fmt.Sprintf("i-%04d", platform.number.Add(1)), address: address, zone: zone, version: version, platform: platform, answer: answer}
+	one.id, one.platform, one.listener, one.startedAt = fmt.Sprintf("i-%04d", platform.number.Add(1)), platform, listener, platform.fleet.now()
 	platform.mutex.Lock()
 	platform.replicas = append(platform.replicas, one)
 	platform.mutex.Unlock()
@@ -93,7 +132,7 @@
 			go one.serve(conn)
 		}
 	}()
-	return nil
+	return one, nil
 }
 
 // head writes the head of an answer but for its framing.
@@ -116,7 +155,7 @@
 		}
 		load := fmt.Sprintf("%d,0,64", replica.running.Load())
 		if request.Method == "GET" && request.URL.Path == "/health" {
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nServed-By: %s\r\nServer-Load: %s\r\nCold-Ms: 0\r\nContent-Length: 0\r\n\r\n", replica.id, load)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nServed-By: %s\r\nServer-Load: %s\r\nCold-Ms: %d\r\nContent-Length: 0\r\n\r\n", replica.id, load, replica.coldLeft().Milliseconds())
 			continue
 		}
 		id := request.Header.Get("Attempt-Id")
@@ -125,7 +164,7 @@
 			continue
 		}
 		platform := replica.platform
-		one := &arrival{id: id, replica: replica.id, method: request.Method, uri: request.RequestURI, body: string(body), at: platform.fleet.now()}
+		one := &arrival{id: id, replica: replica.id, version: replica.version, method: request.Method, uri: request.RequestURI, body: string(body), at: platform.fleet.now()}
 		platform.mutex.Lock()
 		platform.arrivals[id] = append(platform.arrivals[id], one)
 		platform.mutex.Unlock()
