--- a/review/stand/boot_test.go
+++ b/review/stand/boot_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -84,8 +85,28 @@
 	return fmt.Sprintf("%s.%d.%d", from.fleet.network, 10+from.number, to.number)
 }
 
-// boot kills all processes of the core once, right after their first start, and checks that requests are
-// served after recovery_s.
+// reads asks all control daemons for the configuration, again and again, and reports whether it comes.
+func (operator *operator) reads(within time.Duration) bool {
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); <-time.After(200 * time.Millisecond) {
+		for _, one := range operator.fleet.of("controlplane") {
+			answer, err := probeClient.Get(fmt.Sprintf("http://%s:%d/Config.Read", one.ip, controlPort))
+			if err != nil {
+				operator.fleet.note("operator: read at %s: %v", one.name, err)
+				continue
+			}
+			text, _ := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			operator.fleet.note("operator: read at %s: %d %.120s", one.name, answer.StatusCode, text)
+			if answer.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// boot kills all processes of the core once, right after their first start, and checks that the operator can
+// read the configuration back at the end (the rule CONFIG), and what clients were served.
 func boot(fleet *fleet, isTroubled bool) (int, error) {
 	lanes := []lane{{Name: "r-status", Host: host, Prefix: "/lohu930/", Kind: "unsafe", Timeout: 5000, Target: 1000, Urgency: 1, Depot: service, Tries: 1, Homes: []string{}}}
 	core := fleet.of("controlplane")
@@ -155,7 +176,7 @@
 		fleet.note("%s", line)
 	}
 	fleet.note("after recovery_s: %d requests served, %d not; %d more found no daemon to go to", served, failed, without)
-	if served == 0 {
+	if !operator.reads(contact) {
 		return broken, nil
 	}
 	return held, nil
--- a/review/stand/main_test.go
+++ b/review/stand/main_test.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 )
 
@@ -30,6 +32,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(skipped)
 	}
+	go func() {
+		stopped := make(chan os.Signal, 1)
+		signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+		<-stopped
+		fleet.note("told to stop")
+		fleet.finish()
+		os.Exit(skipped)
+	}()
 	code, err := run(fleet, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
