--- a/soak/replica_test.go
+++ b/soak/replica_test.go
@@ -23,6 +23,8 @@
 	isBad                                       atomic.Bool   // part of what it answers fails
 	warmAt                                      time.Duration // on the run's clock
 	isLeaving                                   bool          // under its fleet's guard
+	// answersAfter is how long the replica works on a request before its answer begins.
+	answersAfter func() time.Duration
 }
 
 // eventGap is the pause between the events of a stand-in's stream.
@@ -86,6 +88,11 @@
 	head.Set("Postmark", fmt.Sprintf("%s/%d/%d/%s", replica.service, one.at, one.number, one.id))
 	head.Set("Server-Load", load)
 	head.Set("Weight-Versions", "1")
+	select {
+	case <-request.Context().Done():
+		return
+	case <-time.After(replica.answersAfter()):
+	}
 	if lines, err := strconv.Atoi(request.Header.Get(headerLines)); err == nil {
 		one.isWhole = replica.plain(writer, one, lines)
 	} else {
@@ -144,6 +151,20 @@
 	isDown   atomic.Bool
 	pause    atomic.Int64 // how long an answer takes, in nanoseconds
 	server   *http.Server
+	speeds   sync.Map // by service: how long its replicas work before an answer begins; none for a service that isn't there
+}
+
+// slowDown has the replicas of a service begin their answers after the given time.
+func (provider *provider) slowDown(service string, answersAfter time.Duration) {
+	provider.speeds.Store(service, answersAfter)
+}
+
+// answersAfter is how long the replicas of a service work before an answer begins.
+func (provider *provider) answersAfter(service string) time.Duration {
+	if speed, isSet := provider.speeds.Load(service); isSet {
+		return speed.(time.Duration)
+	}
+	return 0
 }
 
 // begin starts another life of a replica at an address, cold for a while.
@@ -155,6 +176,7 @@
 	provider.guard.Lock()
 	provider.lives++
 	one := &replica{id: fmt.Sprintf("i-%d", provider.lives), service: service, version: version, address: address, zone: zone, region: region, history: provider.history, warmAt: provider.history.now() + cold}
+	one.answersAfter = func() time.Duration { return provider.answersAfter(service) }
 	provider.replicas = append(provider.replicas, one)
 	provider.guard.Unlock()
 	one.server = &http.Server{Handler: one}
