--- a/decide/health.go
+++ b/decide/health.go
@@ -216,7 +216,7 @@
 // overdueAt counts a request that is overdue without an answer once, and reports whether its
 // replica is ejected. The caller holds mu.
 func (decider *Decider) overdueAt(selection *Selection, now time.Duration) bool {
-	if !selection.hasBegun && !selection.isLate && now-selection.sent > decider.Overdue(selection) {
+	if !selection.hasBegun && !selection.isLate && now-selection.sent > decider.overdue(selection) {
 		selection.isLate = true
 		decider.recordLate(selection, overdueWeight, now)
 	}
--- a/decide/route.go
+++ b/decide/route.go
@@ -147,6 +147,18 @@
 	return true
 }
 
+// HasReplica reports whether a replica other than those to avoid may get the request now.
+func (decider *Decider) HasReplica(routed *Routed, avoid Avoid) bool {
+	decider.mu.Lock()
+	defer decider.mu.Unlock()
+	view := decider.View()
+	if view.Tree == nil {
+		return false
+	}
+	best, _, _ := decider.routeCandidates(view, routed, avoid, decider.World.Now())
+	return best != nil
+}
+
 // retryAfterSoon is the retry delay for a request that another daemon can take.
 const retryAfterSoon = 50 * time.Millisecond
 
--- a/decide/suspicion.go
+++ b/decide/suspicion.go
@@ -82,5 +82,12 @@
 // Overdue is the time after its attempt by which a first token should have come. After that a
 // repeatable request is worth sending to another replica.
 func (decider *Decider) Overdue(selection *Selection) time.Duration {
+	decider.mu.Lock()
+	defer decider.mu.Unlock()
+	return decider.overdue(selection)
+}
+
+// overdue is Overdue for callers that hold mu.
+func (decider *Decider) overdue(selection *Selection) time.Duration {
 	return minSilence + silenceFactor*max(selection.PredictedTTFT, decider.prefillTime(selection.routed.Tokens))
 }
--- a/execute/proxy.go
+++ b/execute/proxy.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,6 +34,12 @@
 	selection *decide.Selection
 	avoid     decide.Avoid
 	record    Record
+	// hedge is the attempt beside the present one, nil for none.
+	hedge *hedge
+	// hasRetry is true if a retry was taken from the budget before the present attempt was given up.
+	hasRetry bool
+	// mayHaveRun is the latest failure after which the request ran or may have run.
+	mayHaveRun *verdict.Error
 	// sent counts the replicas to which the request was sent, unreached those that could not be
 	// reached.
 	sent, unreached int
@@ -80,102 +87,156 @@
 // send sends the request, or the rest of a resumed one, until a replica has begun to answer.
 func (response *Response) send() *verdict.Error {
 	executor, routed := response.executor, response.routed
-	// mayHaveRun is the latest failure after which the request ran or may have run.
-	var mayHaveRun *verdict.Error
-	// result is the failure that the caller gets: it says that nothing ran only if no attempt can
-	// have run the request.
-	result := func(failure *verdict.Error) *verdict.Error {
-		if failure.Verdict == verdict.NotRun && mayHaveRun != nil {
-			return mayHaveRun
-		}
-		if (failure.Code == "replica_declined" || failure.Code == replica.RestartedCode) && failure.ComeBack == 0 {
-			// A retry by the caller will be routed to another replica.
-			withDelay := *failure
-			withDelay.ComeBack = rejectedRetryDelay
-			return &withDelay
-		}
-		return failure
-	}
 	for {
 		selection, failure := executor.Decider.Route(routed, response.avoid)
 		if failure != nil {
-			return result(failure)
+			return response.result(failure)
 		}
 		if response.leaver.IsDisconnected() {
 			executor.Decider.EndRouted(selection, callerGone(verdict.NotRun, nil), 0)
-			return result(callerGone(verdict.NotRun, nil))
+			return response.result(callerGone(verdict.NotRun, nil))
 		}
 		response.selection = selection
-		now := executor.World.Now()
-		request := &response.request
-		request.Replica, request.Address, request.ID = selection.Replica, selection.Address, routed.ID
-		request.Remaining, request.Urgency, request.Version = routed.Deadline-now, routed.Urgency(), ""
-		if routed.Tenant != nil {
-			request.Tenant = routed.Tenant.Name
-		}
-		request.NotRepeatable = !routed.Route.Idempotent()
-		request.OnAbort, request.ConnectTimeout, request.UnackedTimeout = response.leaver.OnAbort, connectTimeout, unackedTimeout
-		if selection.Spill {
-			request.ConnectTimeout *= 3
-		}
-		// A request that must not be sent twice is lost if the replica has just gone away. A new
-		// connection detects that before anything is sent, and costs little within the region. It
-		// is also used for another region if the network path there is in doubt.
-		request.NewConnection = request.NotRepeatable && (selection.IsRegionProbe || !selection.Spill && now-selection.LastAlive > aliveValidity)
-		request.Gate = func() *verdict.Error {
-			_, failure := executor.Decider.Gate(selection)
-			return failure
+		executor.address(&response.request, routed, selection)
+		response.request.OnAbort = response.leaver.OnAbort
+		response.request.SilenceInterval, response.request.OnSilence = silenceCheckInterval, response.silenceCheck(executor.World.Now())
+		answer, failure := executor.ProxyClient.Send(&response.request)
+		if response.hedge != nil {
+			answer, failure = response.settleHedge(answer, failure)
 		}
-		request.SilenceInterval, request.OnSilence = silenceCheckInterval, response.silenceCheck(now)
-		answer, failure := executor.ProxyClient.Send(request)
 		if failure == nil {
-			response.sent++
-			var load *decide.Load
-			if answer.HasLoad {
-				load = &decide.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}
-			}
-			executor.Decider.NoteAlive(selection, load)
-			if failure := replicaFailed(); answer.Status >= 500 && response.takeRetry(failure) {
-				answer.Close()
-				response.release(failure)
-				response.avoid[selection.Replica] = true
-				mayHaveRun = failure
-				continue
+			if isFinal := response.begin(answer); isFinal {
+				return nil
 			}
-			if response.Head.Status == 0 {
-				response.Head, response.Header, response.Length = answer.Head, answer.Header, answer.Length
-			}
-			response.answer = answer
-			return nil
+			continue
 		}
-		if failure.Verdict != verdict.NotRun {
-			mayHaveRun = failure
+		if final := response.attemptFailed(failure); final != nil {
+			return final
 		}
+	}
+}
+
+// result is the failure that the caller gets for the failure of the last attempt: it says that
+// nothing ran only if no attempt can have run the request.
+func (response *Response) result(failure *verdict.Error) *verdict.Error {
+	if failure.Verdict == verdict.NotRun && response.mayHaveRun != nil {
+		return response.mayHaveRun
+	}
+	if (failure.Code == "replica_declined" || failure.Code == replica.RestartedCode) && failure.ComeBack == 0 {
+		// A retry by the caller will be routed to another replica.
+		withDelay := *failure
+		withDelay.ComeBack = rejectedRetryDelay
+		return &withDelay
+	}
+	return failure
+}
+
+// address addresses a request to the selected replica.
+func (executor *Executor) address(request *replica.RoutedRequest, routed *decide.Routed, selection *decide.Selection) {
+	now := executor.World.Now()
+	request.Replica, request.Address, request.ID = selection.Replica, selection.Address, routed.ID
+	request.Remaining, request.Urgency, request.Version = routed.Deadline-now, routed.Urgency(), ""
+	if routed.Tenant != nil {
+		request.Tenant = routed.Tenant.Name
+	}
+	request.NotRepeatable = !routed.Route.Idempotent()
+	request.ConnectTimeout, request.UnackedTimeout = connectTimeout, unackedTimeout
+	if selection.Spill {
+		request.ConnectTimeout *= 3
+	}
+	// A request that must not be sent twice is lost if the replica has just gone away. A new
+	// connection detects that before anything is sent, and costs little within the region. It
+	// is also used for another region if the network path there is in doubt.
+	request.NewConnection = request.NotRepeatable && (selection.IsRegionProbe || !selection.Spill && now-selection.LastAlive > aliveValidity)
+	request.Gate = func() *verdict.Error {
+		_, failure := executor.Decider.Gate(selection)
+		return failure
+	}
+}
+
+// begin handles the head of an answer. It returns false if the request is to be sent to another
+// replica, as this one failed to serve it.
+func (response *Response) begin(answer *replica.Answer) (isFinal bool) {
+	response.sent++
+	var load *decide.Load
+	if answer.HasLoad {
+		load = &decide.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}
+	}
+	response.executor.Decider.NoteAlive(response.selection, load)
+	if failure := replicaFailed(); answer.Status >= 500 && response.takeRetry(failure) {
+		answer.Close()
+		response.avoid[response.selection.Replica] = true
 		response.release(failure)
-		if response.leaver.IsDisconnected() {
-			return result(callerGone(failure.Verdict, failure.Cause))
-		}
-		switch failure.Code {
-		case "moved_on":
-			continue // nothing was sent
-		case "no_permit":
-			return result(failure)
-		case replica.RestartedCode, "replica_unreached":
-			// Nothing ran, and nothing arrived except at a replica that has restarted. That request
-			// counts as one more arrival at the replica, and the next attempt as a retry like any
-			// other.
-			response.avoid[selection.Replica] = true
-			if response.unreached++; response.unreached >= maxUnreached || failure.Code == replica.RestartedCode && !executor.Decider.AllowRetry(routed) {
-				return result(failure)
-			}
-			continue
-		}
-		response.sent++
+		response.mayHaveRun = failure
+		return false
+	}
+	if response.Head.Status == 0 {
+		response.Head, response.Header, response.Length = answer.Head, answer.Header, answer.Length
+	}
+	response.answer = answer
+	return true
+}
+
+// attemptFailed handles the failure of the present attempt. It returns the failure that the caller
+// gets, or nil if the request is to be sent to another replica.
+func (response *Response) attemptFailed(failure *verdict.Error) *verdict.Error {
+	if failure.Verdict != verdict.NotRun {
+		response.mayHaveRun = failure
+	}
+	selection := response.selection
+	response.release(failure)
+	if response.leaver.IsDisconnected() {
+		return response.result(callerGone(failure.Verdict, failure.Cause))
+	}
+	if selection == nil {
+		return response.result(failure) // a hedge that found no replica
+	}
+	switch failure.Code {
+	case "moved_on":
+		return nil // nothing was sent
+	case "no_permit":
+		return response.result(failure)
+	case replica.RestartedCode, "replica_unreached":
+		// Nothing ran, and nothing arrived except at a replica that has restarted. That request
+		// counts as one more arrival at the replica, and the next attempt as a retry like any
+		// other.
 		response.avoid[selection.Replica] = true
-		if !response.takeRetry(failure) {
-			return result(failure)
+		if response.unreached++; response.unreached >= maxUnreached || failure.Code == replica.RestartedCode && !response.executor.Decider.AllowRetry(response.routed) {
+			return response.result(failure)
+		}
+		return nil
+	}
+	response.sent++
+	response.avoid[selection.Replica] = true
+	if !response.takeRetry(failure) {
+		return response.result(failure)
+	}
+	return nil
+}
+
+// settleHedge decides between the present attempt, which ended, and its hedge: it returns the answer
+// of the present attempt if it has one, else what becomes of the hedge, which is then the present
+// attempt.
+func (response *Response) settleHedge(answer *replica.Answer, failure *verdict.Error) (*replica.Answer, *verdict.Error) {
+	hedge := response.hedge
+	response.hedge = nil
+	if failure == nil {
+		if hedge.abandon() {
+			response.sent++
 		}
+		return answer, nil
+	}
+	response.sent++
+	if failure.Verdict != verdict.NotRun {
+		response.mayHaveRun = failure
 	}
+	response.release(failure)
+	result := hedge.await(response.leaver)
+	response.selection = result.selection
+	if result.selection != nil {
+		response.avoid[result.selection.Replica] = true
+	}
+	return result.answer, result.failure
 }
 
 // ProxyClient is the client that sends routed requests to replicas.
@@ -184,23 +245,42 @@
 }
 
 // silenceCheck returns the function that is called while a replica sends nothing; it reports
-// whether to stop waiting for the replica.
+// whether to stop waiting for the replica. That is done only for an answer from another one, or to
+// continue a stream there with a retry from the budget.
 func (response *Response) silenceCheck(since time.Duration) func(bool) bool {
 	selection, route := response.selection, response.routed.Route
 	return func(hasBegun bool) bool {
+		if !hasBegun && response.hedge != nil {
+			return response.hedge.hasAnswered()
+		}
 		now := response.executor.World.Now()
 		suspicion := response.executor.Decider.Suspicion(selection)
 		if hasBegun {
-			return route.Resume && route.Gap > 0 && now-response.lastAt > gapFactor*route.Gap && response.mayRetry()
+			return route.Resume && route.Gap > 0 && now-response.lastAt > gapFactor*route.Gap && response.reserveRetry()
 		}
 		if !route.Idempotent() || !response.mayRetry() {
 			return false
 		}
 		overdue := response.executor.Decider.Overdue(selection)
-		return now-since > overdue && (suspicion == decide.Failing || now-since > silentOverdueFactor*overdue)
+		if now-since > overdue && (suspicion == decide.Failing || now-since > silentOverdueFactor*overdue) {
+			response.startHedge()
+		}
+		return false
 	}
 }
 
+// reserveRetry takes a retry from the budget in advance, if another replica may get the request.
+func (response *Response) reserveRetry() bool {
+	if !response.mayRetry() {
+		return false
+	}
+	avoid := maps.Clone(response.avoid)
+	avoid[response.selection.Replica] = true
+	decider := response.executor.Decider
+	response.hasRetry = decider.HasReplica(response.routed, avoid) && decider.AllowRetry(response.routed)
+	return response.hasRetry
+}
+
 // mayRetry reports whether the request may be sent to another replica, not counting the retry
 // budget.
 func (response *Response) mayRetry() bool {
@@ -218,6 +298,10 @@
 		response.routed.Deadline-response.executor.World.Now() <= 0 || failure.Code == "expired" {
 		return false
 	}
+	if response.hasRetry {
+		response.hasRetry = false
+		return true
+	}
 	return response.executor.Decider.AllowRetry(response.routed)
 }
 
--- a/execute/proxy_test.go
+++ b/execute/proxy_test.go
@@ -82,12 +82,21 @@
 // succeeded stands for the absence of a failure.
 const succeeded = verdict.Verdict(99)
 
-// newDaemon makes the decider of a data daemon with the given number of replicas, after 100
-// requests, whose retry budget allows 20 retries.
+// newDaemon is newDecider on the machine's clock.
 func newDaemon(t *testing.T, replicas int) (loop.World, *decide.Decider, func() *lease.View) {
+	t.Helper()
+	world := loop.NewMachine()
+	decider, holder := newDecider(t, world, replicas)
+	return world, decider, holder
+}
+
+// newDecider makes the decider of a data daemon with the given number of replicas, after 100
+// requests, whose retry budget allows 20 retries.
+func newDecider(t *testing.T, world loop.World, replicas int) (*decide.Decider, func() *lease.View) {
 	t.Helper()
 	tree, problems := settings.Parse([]byte(`{"whole":{"placements":{"m":{"version":"any","capacity":64}}},"engines":{"m":{"probe_path":"/vitals","berths":64}},
- "routes":[{"name":"r","host":"h.example","prefix":"/resumed/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"tries":3,"resume":true,"shares":[{"model":"m","weight":1}]},
+ "routes":[{"name":"r","host":"h.example","prefix":"/resumed/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"gap_ms":300,"tries":3,"resume":true,"shares":[{"model":"m","weight":1}]},
+  {"name":"s","host":"h.example","prefix":"/safe/","kind":"safe","timeout_ms":10000,"target_ms":1000,"tries":2,"shares":[{"model":"m","weight":1}]},
   {"name":"o","host":"h.example","prefix":"/once/","kind":"streamed","timeout_ms":10000,"target_ms":1000,"tries":3,"shares":[{"model":"m","weight":1}]}],
  "tenants":[{"name":"whose","keys":["k"],"urgency":3}],
  "regions":{"a":{"zones":{"a-1":{}}}}}`))
@@ -101,13 +110,12 @@
 		table.Rows = append(table.Rows, routing.Row{Replica: id, Model: "m", Version: "v1"})
 	}
 	view := &lease.View{Serial: 1, Tree: tree, Deadline: loop.Forever, Evacuated: map[string]bool{}, RoutingTables: map[string]routing.Table{"a": table}}
-	world := loop.NewMachine()
 	holder := func() *lease.View { return view }
 	decider := decide.New(decide.Options{World: world, View: holder, Self: session.Member{Name: "x", Role: session.Data, Region: "a", Zone: "a-1"}})
 	for range 100 {
 		_ = decider.Resolve(&decide.Routed{Host: "h.example", Key: "k", Path: "/once/x", Deadline: world.Now() + time.Minute})
 	}
-	return world, decider, holder
+	return decider, holder
 }
 
 // TestRoutedOutcomes checks the outcome that the caller gets for a routed request, by what its attempts
