soak: a core machine that is gone for long, slow services, and a check for each reading of CONFIG

The core counted as disturbed for the whole of a freeze or of a time down, where RULES.md has it settled again contact_ms after the event as long as more than half of it runs.

Two services answer late, up to 3 s. Counted as well: invalid configurations, races, answers judged while one core machine was gone.

--- a/execute/hedge_test.go
+++ b/execute/hedge_test.go
@@ -167,16 +167,16 @@
 				response, failure := executor.Proxy(routed, replica.RoutedRequest{}, caller)
 				switch {
 				case failure != nil && failure.Code != test.code:
-					t.Errorf("the caller got %s after %v", failure.Code, node.Now()-since)
+					t.Errorf("CONFIG: the caller got %s after %v", failure.Code, node.Now()-since)
 				case failure == nil && test.code != "":
 					t.Errorf("an answer, want %s", test.code)
 				case failure == nil:
 					if took := node.Now() - since; took > test.beginsBy {
-						t.Errorf("the answer began after %v", took)
+						t.Errorf("CONFIG: the answer began after %v", took)
 					}
 					body, err := io.ReadAll(response)
 					if want := "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"; err != nil || test.path != "/resumed/" && string(body) != want {
-						t.Errorf("got %q, %v", body, err)
+						t.Errorf("CONFIG: got %q, %v", body, err)
 					}
 					_ = response.Close()
 				}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -15,6 +15,8 @@
 	services []string
 	latest   latest
 	over     time.Duration // when the run was over
+	// judgedWithOneGone counts the answers that were held to the bound of a settled core while a core machine was gone.
+	judgedWithOneGone int
 }
 
 // latest is the answer that followed a change latest, whether a bound held for it or not.
@@ -35,8 +37,26 @@
 	return out
 }
 
+// isCore tells whether a machine is one of the core.
+func (checker *checker) isCore(machine string) bool { return checker.controls[machine] }
+
+// isSettled tells whether the core was settled throughout a span: none of its machines was killed, stopped, started,
+// frozen, thawed or removed in it, none was slowed, and more than half of them ran.
+func (checker *checker) isSettled(during span) bool {
+	for _, one := range checker.disturbances {
+		if !checker.isCore(one.machine) || !one.overlaps(during) {
+			continue
+		}
+		if one.isSlowed || during.contains(one.from) || during.contains(one.to) {
+			return false
+		}
+	}
+	return 2*len(checker.disturbed(during, checker.isCore)) < checker.core
+}
+
 // lateness is how much later than the bound of a calm core a machine may follow a change, and false
-// where no bound holds: it was disturbed itself, or most of the core was.
+// where no bound holds: it was disturbed itself, or most of the core was. A core machine that has been gone for a while
+// doesn't unsettle the core.
 func (checker *checker) lateness(one outcome, since time.Duration) (time.Duration, bool) {
 	decided := one.answered
 	if one.arrived > 0 {
@@ -45,11 +65,10 @@
 	if len(checker.disturbed(span{one.sent - checker.contact, decided}, func(machine string) bool { return machine == one.machine })) > 0 {
 		return 0, false
 	}
-	isCore := func(machine string) bool { return checker.controls[machine] }
-	if len(checker.disturbed(span{one.sent - checker.contact, decided}, isCore)) == 0 {
+	if checker.isSettled(span{one.sent - checker.contact, decided}) {
 		return 0, true
 	}
-	disturbed := checker.disturbed(span{min(since, one.sent) - checker.contact, decided}, isCore)
+	disturbed := checker.disturbed(span{min(since, one.sent) - checker.contact, decided}, checker.isCore)
 	return checker.stretch, 2*len(disturbed) < checker.core
 }
 
@@ -92,6 +111,9 @@
 			checker.broken(one, "as no version allows", 0)
 			continue
 		}
+		if more, isBound := checker.lateness(one, one.sent); isBound && more == 0 && len(checker.disturbed(span{one.sent, one.answered}, checker.isCore)) > 0 {
+			checker.judgedWithOneGone++
+		}
 		for _, version := range changes {
 			if version.acknowledged == 0 || version.edition <= newest || version.acknowledged >= one.sent {
 				continue
@@ -223,3 +245,27 @@
 		on[one.basedOn] = one
 	}
 }
+
+// countInvalid counts the invalid configurations that were sent.
+func (checker *checker) countInvalid() (count int) {
+	for _, one := range checker.changes {
+		if one.isInvalid {
+			count++
+		}
+	}
+	return count
+}
+
+// countRaces counts the versions on top of which two valid changes were sent or more.
+func (checker *checker) countRaces() (count int) {
+	on := map[int]int{}
+	for _, one := range checker.changes {
+		if one.isInvalid {
+			continue
+		}
+		if on[one.basedOn]++; on[one.basedOn] == 2 {
+			count++
+		}
+	}
+	return count
+}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -130,8 +130,13 @@
 	told, killed time.Duration
 	seeds        []string
 	rewritten    int
+	// downFor is how long the machine stays down after the end of the present process, zero for the usual time.
+	downFor time.Duration
 }
 
+// restartPause is the usual time between the end of a process and the start of the next one.
+const restartPause = 150 * time.Millisecond
+
 // cluster is a deployment that runs.
 type cluster struct {
 	deployment
@@ -322,11 +327,13 @@
 			machine.process = nil
 			end := processEnd{machine: machine.name, life: machine.life, told: machine.told, killed: machine.killed, at: machine.cluster.history.now(), status: command.ProcessState.String(), isClean: err == nil}
 			end.hasListened = machine.hasListened()
+			pause := max(machine.downFor, restartPause)
+			machine.downFor = 0
 			machine.guard.Unlock()
 			machine.cluster.history.processEnded(end)
 			close(ended)
 			select {
-			case <-time.After(150 * time.Millisecond):
+			case <-time.After(pause):
 			case <-machine.cluster.isOver:
 			}
 			machine.cluster.history.settle(gone)
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -23,7 +23,7 @@
 	cluster *cluster
 	random  *rand.Rand
 	// limits of what is worst: the pause between troubles, and how long a freeze lasts.
-	pause, freeze time.Duration
+	pause, freezeMost time.Duration
 	// storm is how long troubles go on, and calm how long there are none then: long enough for the bounds
 	// of calm times to hold again.
 	storm, calm time.Duration
@@ -112,6 +112,9 @@
 	for faults.cluster.pause(time.Duration(faults.random.Int64N(int64(faults.pause))) + faults.pause/10) {
 		if faults.calm > 0 && faults.cluster.history.now() > calm {
 			faults.cluster.history.note("calm")
+			if !faults.isPlannedOnly && faults.random.IntN(2) == 0 {
+				faults.loseControl()
+			}
 			faults.cluster.pause(faults.calm)
 			calm = faults.cluster.history.now() + faults.storm
 		}
@@ -186,7 +189,11 @@
 
 // suspend freezes a process for a while.
 func (faults *faults) suspend(machine *machine) {
-	span := 200*time.Millisecond + time.Duration(faults.random.Int64N(int64(faults.freeze)))
+	faults.freeze(machine, 200*time.Millisecond+time.Duration(faults.random.Int64N(int64(faults.freezeMost))))
+}
+
+// freeze freezes a process for so long.
+func (faults *faults) freeze(machine *machine, span time.Duration) {
 	history := faults.cluster.history
 	one := history.disturb(machine.name, fmt.Sprintf("frozen for %v", span))
 	machine.signal(syscall.SIGSTOP)
@@ -197,6 +204,24 @@
 	})
 }
 
+// loseControl takes one control daemon away for most of a calm time: the core is settled again once that is long enough
+// ago, as more than half of it runs.
+func (faults *faults) loseControl() {
+	one := pick(faults.random, faults.cluster.of(control))
+	lasts := faults.calm - time.Second
+	if faults.spared(one) {
+		return
+	}
+	if faults.random.IntN(2) == 0 {
+		faults.freeze(one, lasts)
+		return
+	}
+	one.guard.Lock()
+	one.downFor = lasts
+	one.guard.Unlock()
+	faults.kill(one)
+}
+
 // rewrite changes a machine's settings file, with or without a signal; that is no disturbance.
 func (faults *faults) rewrite(machine *machine) {
 	machine.guard.Lock()
--- a/soak/history_test.go
+++ b/soak/history_test.go
@@ -14,6 +14,9 @@
 // overlaps tells whether two spans share a moment.
 func (one span) overlaps(other span) bool { return one.from <= other.to && other.from <= one.to }
 
+// contains tells whether a moment lies in the span.
+func (one span) contains(moment time.Duration) bool { return one.from <= moment && moment <= one.to }
+
 // unfinished ends a span that is not over yet.
 const unfinished = time.Duration(1<<62 - 1)
 
@@ -24,6 +27,8 @@
 	what    string
 	// isPlanned tells orders to start, stop or leave from what happens to a machine.
 	isPlanned bool
+	// isSlowed says that the machine ran, but slowly.
+	isSlowed bool
 }
 
 // attempt is one request that a client sent, and what became of it.
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -42,6 +42,7 @@
 	rules.checkRepeats()
 	rules.checkCold()
 	rules.checkDenied()
+	rules.checkTimeouts()
 	rules.checkRollouts()
 	for _, one := range rules.evacuations {
 		if one.acknowledged > 0 {
@@ -376,3 +377,39 @@
 		rules.fail("DENIED: %d proper requests, such as %s", denied, example)
 	}
 }
+
+// The rule on time-outs binds from so many requests on that were unanswered at their route's, and asks that half of them
+// are answered so soon after it.
+const (
+	leastOverTimeout = 8
+	overTimeoutSlack = 500 * time.Millisecond
+	overTimeoutPart  = 0.5
+)
+
+// checkTimeouts: requests that are unanswered at their route's time-out get their answer soon after it.
+func (rules *requestRules) checkTimeouts() {
+	over, late, example := 0, 0, ""
+	for _, one := range rules.attempts {
+		routes := rules.routes(one)
+		if one.sent == 0 || len(routes) == 0 || one.ended > rules.over {
+			continue
+		}
+		timeout := time.Duration(slices.MaxFunc(routes, func(a, b route) int { return a.Timeout - b.Timeout }).Timeout) * time.Millisecond
+		if timeout >= one.left || one.ended-one.sent <= timeout {
+			continue
+		}
+		through := outcome{machine: one.machine, life: one.life, sent: one.began, answered: one.ended}
+		if _, isBound := rules.lateness(through, one.began); !isBound {
+			continue
+		}
+		over++
+		if one.ended-one.sent > timeout+overTimeoutSlack {
+			late++
+			example = rules.describe(one)
+		}
+	}
+	rules.judged["CONFIG, over the time-out"] += over
+	if over >= leastOverTimeout && float64(late) > overTimeoutPart*float64(over) {
+		rules.fail("CONFIG: %d of %d requests that were unanswered at their time-out had no answer %v later, such as %s", late, over, overTimeoutSlack, example)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// slowServiceCount is how many services answer late, by slowest at the most.
+const (
+	slowServiceCount = 2
+	slowest          = 3 * time.Second
+)
+
+// slowDownSome has some services answer late from the beginning, each with a speed of its own.
+func (cluster *cluster) slowDownSome(random *rand.Rand) {
+	for range slowServiceCount {
+		service, answersAfter := pick(random, cluster.services), time.Duration(random.Int64N(int64(slowest)))
+		cluster.provider.slowDown(service, answersAfter)
+		cluster.history.note("%s answers after %v", service, answersAfter)
+	}
+}
+
 // soak runs a deployment under troubles and changes for a while, and checks what was seen.
 func soak(t *testing.T, deployment deployment, words map[string][]string, seed uint64, lasts time.Duration) {
 	cluster := begin(t, deployment, words, seed)
@@ -80,7 +95,8 @@
 	for _, one := range cluster.of(data) {
 		cluster.attend(one)
 	}
-	faults := &faults{cluster: cluster, random: source(12), pause: *pauseFlag, freeze: *freezeFlag, storm: *stormFlag, calm: *calmFlag, isPlannedOnly: seed%2 == 0}
+	cluster.slowDownSome(source(14))
+	faults := &faults{cluster: cluster, random: source(12), pause: *pauseFlag, freezeMost: *freezeFlag, storm: *stormFlag, calm: *calmFlag, isPlannedOnly: seed%2 == 0}
 	cluster.group.Go(cluster.watchWaits)
 	hasStopped := make(chan struct{})
 	cluster.group.Go(func() {
@@ -106,6 +122,7 @@
 	checker.checkReadings()
 	checker.checkRaces()
 	first, added := checker.checkAdded()
+	invalid, races := checker.countInvalid(), checker.countRaces()
 	rules := newRequestRules(checker)
 	rules.check()
 	ends := checker.checkProcesses()
@@ -120,6 +137,8 @@
 		t.Errorf("vacuous: %d answers judged, %d changes acknowledged", judged, acknowledged)
 	}
 	t.Logf("seed %d: %d of %d answers judged, %d of %d changes acknowledged, %d readings, %d disturbances", seed, judged, len(checker.outcomes), acknowledged, len(checker.changes), len(checker.readings), len(checker.disturbances))
+	t.Logf("seed %d: %d invalid configurations and %d races were sent", seed, invalid, races)
+	t.Logf("seed %d: %d answers judged in a settled core with one machine gone", seed, checker.judgedWithOneGone)
 	t.Logf("seed %d: served in calm times: %d of %d on first routes, %d of %d on added ones", seed, first.served, first.sent, added.served, added.sent)
 	t.Logf("seed %d: cases judged: %v; processes ended: %v", seed, rules.judged, ends)
 	t.Logf("seed %d: machines waited for a processor for %v in all, where that slowed them", seed, checker.starved)
--- a/soak/starved_test.go
+++ b/soak/starved_test.go
@@ -72,6 +72,6 @@
 	history.note("%s: slowed, waited %v for a processor", machine, wait)
 	history.guard.Lock()
 	defer history.guard.Unlock()
-	history.disturbances = append(history.disturbances, &disturbance{span: during, machine: machine, what: "slowed"})
+	history.disturbances = append(history.disturbances, &disturbance{span: during, machine: machine, what: "slowed", isSlowed: true})
 	history.starved += wait
 }
