--- a/execute/hedge.go
+++ b/execute/hedge.go
@@ -23,8 +23,8 @@
 	avoid    decide.Avoid
 	// caller aborts the attempt.
 	caller CallerState
-	// wakeup gets a message when the attempt has a result.
-	wakeup loop.Mailbox
+	// ended gets a message when the attempt has a result.
+	ended loop.Mailbox
 
 	mu          sync.Mutex
 	result      *hedgeResult
@@ -49,7 +49,7 @@
 	if !executor.Decider.HasReplica(routed, response.avoid) || !executor.Decider.AllowRetry(routed) {
 		return
 	}
-	response.hedge = &hedge{executor: executor, routed: routed, request: response.request, avoid: maps.Clone(response.avoid), wakeup: executor.World.Mailbox()}
+	response.hedge = &hedge{executor: executor, routed: routed, request: response.request, avoid: maps.Clone(response.avoid), ended: executor.World.Mailbox()}
 	response.request.SilenceInterval = hedgePollInterval
 	executor.World.Go(response.hedge.run)
 }
@@ -82,7 +82,7 @@
 	hedge.result = result
 	hedge.mu.Unlock()
 	if !isAbandoned {
-		hedge.wakeup.Put(nil)
+		hedge.ended.Put(nil)
 		return
 	}
 	if result.failure == nil || result.failure.Verdict != verdict.NotRun {
@@ -109,7 +109,7 @@
 		if result != nil {
 			return result
 		}
-		if _, isWoken := hedge.wakeup.Take(loop.Forever); !isWoken {
+		if _, isWoken := hedge.ended.Take(loop.Forever); !isWoken {
 			hedge.abandon() // the process ends
 			return &hedgeResult{failure: &verdict.Error{Verdict: verdict.MayHaveRun, Code: "stopped", Status: 502, Message: "this daemon stopped before the answer began"}}
 		}
