soak: the test of stopping control daemons waits until the data daemon stands still

The test took the signal for the freeze. The kernel stops a process once one of its threads handles the signal; until then the others go on. Such a data daemon can still take the change and say so, and the confirmation is right then. The change is now sent after all threads stand still, so the check asks as much of the product: no confirmation while a frozen daemon's lease stands. The last turn's times go into the timeline.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -370,6 +370,32 @@
 	_ = machine.process.Signal(signal)
 }
 
+// isFrozen tells whether each thread of the present process stands still. The kernel stops them some time after the
+// signal: until the first of them handles it, the others go on.
+func (machine *machine) isFrozen() bool {
+	machine.guard.Lock()
+	process := machine.process
+	machine.guard.Unlock()
+	if process == nil {
+		return false
+	}
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", process.Pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		// The state follows the name, which is in brackets.
+		if _, state, isFound := strings.Cut(string(text), ") "); !isFound || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // lived gives the number of the present process, zero if there is none.
 func (machine *machine) lived() int {
 	machine.guard.Lock()
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -78,6 +78,9 @@
 			return lease >= freshLease
 		})
 		frozen.signal(syscall.SIGSTOP)
+		signaled := cluster.history.now()
+		cluster.waitFor(t, "the data daemon stands still", frozen.isFrozen)
+		cluster.history.note("turn %d: %s stood still at most %v after the signal, its lease stood for %v at %.3f", turn, frozen.name, cluster.history.now()-signaled, lease, began.Seconds())
 		faults.stop(stopped)
 		// It is on its way when the order to stop comes, or a little later.
 		cluster.wait(time.Duration(random.Int64N(int64(60 * time.Millisecond))))
