--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -184,7 +184,7 @@
 // pause draws the time until the next change.
 func (operator *operator) pause() time.Duration {
 	short := time.Duration(operator.random.Int64N(int64(operator.cluster.changePause)) + 1)
-	if operator.random.IntN(3) == 0 {
+	if operator.cluster.changePause >= time.Second && operator.random.IntN(3) == 0 {
 		return operator.cluster.apply + time.Duration(operator.random.Int64N(int64(longPause)))
 	}
 	return short
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 	controlFlag = flag.Int("controls", 3, "control daemons")
 	dataFlag    = flag.Int("datas", 6, "data daemons")
 	pauseFlag   = flag.Duration("pause", 2500*time.Millisecond, "the longest pause between troubles")
+	changesFlag = flag.Duration("changes", 2500*time.Millisecond, "the longest pause between changes; below a second, none is longer")
 	freezeFlag  = flag.Duration("freeze", 4*time.Second, "the longest freeze")
 	turnsFlag   = flag.Int("turns", 6, "how often a control daemon is stopped under a change")
 	raceFlag    = flag.Bool("races", false, "build the programs with the race detector")
@@ -201,7 +202,9 @@
 	words := programs(t, t.TempDir(), flags...)
 	for _, seed := range seeds() {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			soak(t, sklepik(*controlFlag, *dataFlag), words, seed, lasts)
+			deployment := sklepik(*controlFlag, *dataFlag)
+			deployment.changePause = *changesFlag
+			soak(t, deployment, words, seed, lasts)
 		})
 	}
 }
