--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -67,6 +67,8 @@
 	// probePause is the usual pause of a client, changePause the longest one between changes, lag
 	// how old the platform's list is.
 	probePause, changePause, lag time.Duration
+	// isFaulty says that the programs are those with faulty links and disks.
+	isFaulty bool
 }
 
 type zone struct{ name, region string }
@@ -151,6 +153,7 @@
 	isOver   chan struct{}
 	isStill  chan struct{} // closed when troubles and changes end
 	joined   int
+	cuts     []cutLink // under the guard
 }
 
 func (cluster *cluster) of(role string) (out []*machine) {
@@ -226,6 +229,7 @@
 	}
 	one.folder = filepath.Join(cluster.folder, one.name)
 	cluster.machines = append(cluster.machines, one)
+	cluster.writeLinks()
 	return one
 }
 
@@ -298,7 +302,7 @@
 			words := machine.cluster.words[machine.role]
 			command := exec.Command(words[0], words[1:]...)
 			command.Dir = machine.folder
-			command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + machine.folder, "LANG=C", "SWIFTTILLER_SETTINGS=" + filepath.Join(machine.folder, "node.json")}
+			command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + machine.folder, "LANG=C", "SWIFTTILLER_SETTINGS=" + filepath.Join(machine.folder, "node.json"), "SOAK_LINKS=" + machine.cluster.linksFile(), "SOAK_ADDRESS=" + machine.ip}
 			log, err := os.OpenFile(filepath.Join(machine.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 			if err == nil {
 				command.Stdout, command.Stderr = log, log
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -93,11 +94,21 @@
 	{"planned replacement of replicas", 2, true, (*faults).releasePlanned},
 }
 
+// linkTroubles are those that only programs with faulty links bear out.
+var linkTroubles = []trouble{
+	{"a control daemon cut off", 4, false, func(faults *faults) { faults.cutOff(control) }},
+	{"a data daemon cut off", 4, false, func(faults *faults) { faults.cutOff(data) }},
+}
+
 // run brings troubles about until the run is over.
 func (faults *faults) run() {
 	total := 0
 	var possible []trouble
-	for _, one := range troubles {
+	all := troubles
+	if faults.cluster.isFaulty {
+		all = append(slices.Clone(troubles), linkTroubles...)
+	}
+	for _, one := range all {
 		if one.isPlanned || !faults.isPlannedOnly {
 			possible = append(possible, one)
 			total += one.weight
