soak: a SIGHUP before the runtime has begun, within a second of trouble, is no fault

Trace: SIGKILL at 35.772, start at 35.963, a SIGHUP of a series at once, end at 35.977, 14 ms after the start; the log has no line of that life. No code of ours had run. RULES.md, Own ends, leaves out ends within a second of trouble on the machine. The check excuses only that: not listened yet, killed by SIGHUP, within a second of unplanned trouble; all other ends count as before.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -19,6 +19,8 @@
 		ends[strings.TrimRight(one.machine, "-0123456789")+": "+kindOf(one)]++
 		name := fmt.Sprintf("%s (life %d), told to stop at %.3f, killed at %.3f, ended at %.3f: %s", one.machine, one.life, one.told.Seconds(), one.killed.Seconds(), one.at.Seconds(), one.status)
 		switch {
+		case one.told == 0 && one.killed == 0 && !one.hasListened && one.status == "signal: "+syscall.SIGHUP.String() && checker.hadTroubleBefore(one):
+			// The signal came before the runtime had come to our code, and the end lies within a second of trouble.
 		case one.told == 0 && one.killed == 0:
 			checker.fail("Fault: a process ended by itself: %s", name)
 		case one.told == 0 || checker.wasDisturbed(one):
@@ -35,6 +37,16 @@
 	return ends
 }
 
+// afterTrouble is how long after trouble on its machine a process may end by itself (RULES.md, Own ends).
+const afterTrouble = time.Second
+
+// hadTroubleBefore tells whether a process ended during unplanned trouble on its machine, or within afterTrouble of it.
+func (checker *checker) hadTroubleBefore(end processEnd) bool {
+	return slices.ContainsFunc(checker.disturbances, func(one *disturbance) bool {
+		return !one.isPlanned && one.machine == end.machine && one.overlaps(span{end.at - afterTrouble, end.at})
+	})
+}
+
 // kindOf tells how a process ended, for the report.
 func kindOf(one processEnd) string {
 	switch {
