--- a/soak/faulty_build_test.go
+++ b/soak/faulty_build_test.go
@@ -71,8 +71,8 @@
 // linksFile is where the processes of a faulty build read how the links are.
 func (cluster *cluster) linksFile() string { return filepath.Join(cluster.folder, "links.json") }
 
-// cutLink is a link that is cut in one direction.
-type cutLink struct{ from, to string }
+// cutLink is a link that is cut in one direction, from one address to another.
+type cutLink [2]string
 
 // writeLinks tells all processes how the links are. The caller holds the guard.
 func (cluster *cluster) writeLinks() {
@@ -80,11 +80,7 @@
 	for _, one := range cluster.machines {
 		regions[one.ip] = one.zone.region
 	}
-	cuts := [][2]string{}
-	for _, one := range cluster.cuts {
-		cuts = append(cuts, [2]string{one.from, one.to})
-	}
-	text, err := json.Marshal(map[string]any{"Regions": regions, "DelayMS": regionDelay.Milliseconds(), "Cuts": cuts})
+	text, err := json.Marshal(map[string]any{"Regions": regions, "DelayMS": regionDelay.Milliseconds(), "Cuts": cluster.cuts})
 	if err == nil {
 		if err = os.WriteFile(cluster.linksFile()+".new", text, 0o600); err == nil {
 			err = os.Rename(cluster.linksFile()+".new", cluster.linksFile())
