Review: a replaced control machine's vote makes the loss of one disk final

Cause: the core grows to four votes when a successor joins, and the vote of the machine that went without SIGTERM stays for 30 s; with a second vote lost with its disk, two of four are no majority, and nothing ends that.

The stand-in's script takes orders to start, kill and wipe control machines.

--- a/review/stand-2/client_test.go
+++ b/review/stand-2/client_test.go
@@ -46,15 +46,19 @@
 type operator struct {
 	*record
 	network string
+	hosts   []int // of the control machines that the operator knows
 	next    int
 }
 
+// host is the control machine that is called next.
+func (operator *operator) host() int { return operator.hosts[operator.next%len(operator.hosts)] }
+
 // call makes an operator's call until it gets a clear answer, for at most the given time. The status is 0 for none.
 func (operator *operator) call(method, path, basedOn string, body []byte, within time.Duration) (status int, answer []byte) {
 	client := &fasthttp.Client{ReadTimeout: time.Second, WriteTimeout: time.Second, MaxIdemponentCallAttempts: 1}
 	for until := operator.now() + within; operator.now() < until; operator.next++ {
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		request.SetRequestURI(fmt.Sprintf("http://%s.%d:%d%s", operator.network, 10+operator.next%3, controlPort, path))
+		request.SetRequestURI(fmt.Sprintf("http://%s.%d:%d%s", operator.network, operator.host(), controlPort, path))
 		request.Header.SetMethod(method)
 		if basedOn != "" {
 			request.Header.Set("Based-On", basedOn)
@@ -64,7 +68,7 @@
 			request.SetBody(body)
 		}
 		err := client.DoTimeout(request, response, 3*time.Second)
-		operator.line("operator: %s %s at control %d: %d %v %.120s", method, path, 1+operator.next%3, response.StatusCode(), err, response.Body())
+		operator.line("operator: %s %s at .%d: %d %v %.120s", method, path, operator.host(), response.StatusCode(), err, response.Body())
 		if status := response.StatusCode(); err == nil && status < 500 && status != 408 && status != 429 {
 			return status, append([]byte{}, response.Body()...)
 		}
--- a/review/stand-2/fleet_test.go
+++ b/review/stand-2/fleet_test.go
@@ -11,8 +11,6 @@
 	"path/filepath"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Ports of the deployment. All machines have the same ones, each at a loopback address of its own.
@@ -41,11 +39,18 @@
 	zone            zone
 }
 
+// spare is a control machine that may be added: its name, and its address behind the network's.
+const (
+	spareName = "sorting-biratnagar-hall-2"
+	spareHost = 13
+)
+
 // machines gives the three control machines and the six data machines of a network such as 127.60.1.
 func machines(network string) (out []machine) {
 	for index, one := range zones {
 		out = append(out, machine{fmt.Sprintf("sorting-%s-1", one.name), "sorting", fmt.Sprintf("%s.%d", network, 10+index), one})
 	}
+	out = append(out, machine{spareName, "sorting", fmt.Sprintf("%s.%d", network, spareHost), zones[2]})
 	for index := range 6 {
 		one := zones[index%3]
 		out = append(out, machine{fmt.Sprintf("counter-%s-%d", one.name, 1+index/3), "counter", fmt.Sprintf("%s.%d", network, 20+index), one})
@@ -54,7 +59,7 @@
 }
 
 // writeSettings writes a settings file for each machine, and a list of them for the script.
-func writeSettings(folder, network string) error {
+func writeSettings(folder, network string, isFirst bool) error {
 	regions := map[string]string{}
 	for _, one := range zones {
 		regions[one.name] = one.region
@@ -62,7 +67,7 @@
 	var seeds []string
 	all := machines(network)
 	for _, one := range all {
-		if one.class == "sorting" {
+		if one.class == "sorting" && one.name != spareName {
 			seeds = append(seeds, fmt.Sprintf("%s:%d", one.ip, controlPort))
 		}
 	}
@@ -81,7 +86,7 @@
 		}
 		text, err := json.MarshalIndent(map[string]any{
 			"node": one.name, "role": program, "machine_class": one.class, "carries": []string{one.class}, "ip": one.ip, "zone": one.zone.name, "region": one.zone.region, "zones": regions,
-			"sockets": sockets, "inner_range": []int{innerFirst, innerLast}, "seed_nodes": seeds, "first_boot": true, "counts_loss": one.class == "sorting",
+			"sockets": sockets, "inner_range": []int{innerFirst, innerLast}, "seed_nodes": seeds, "first_boot": isFirst && one.name != spareName, "counts_loss": one.class == "sorting",
 			"limits":    map[string]any{"cpu_quota": cpu, "cpu_cores": 1, "memory_mb": memory, "file_handles": handles, "uplink_mbps": 1000.0, "disk_mb": disk},
 			"state_dir": state, "lookup": "provider", "entry_mode": "registry", "beat_ms": 1200,
 			"terms_used": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "places", "rollout"}, "tolerance": map[string]int{"machines": 1, "zones": 1, "regions": 1},
@@ -94,7 +99,9 @@
 		if err := os.WriteFile(filepath.Join(own, "node.json"), text, 0o600); err != nil {
 			return err
 		}
-		list += one.name + " " + program + "\n"
+		if one.name != spareName {
+			list += one.name + " " + program + "\n"
+		}
 	}
 	return os.WriteFile(filepath.Join(folder, "machines"), []byte(list), 0o600)
 }
@@ -130,8 +137,17 @@
 	fmt.Fprintf(record.file, "%9.3f  %s\n", record.now().Seconds(), fmt.Sprintf(format, values...))
 }
 
-// signal sends a signal to a process that the script started.
-func signal(pid int, sent unix.Signal) error { return unix.Kill(pid, sent) }
+// tell has the script do something with the process of a machine: start, kill, or wipe, which empties its disk.
+func (record *record) tell(verb, name string) error {
+	record.line("script: %s %s", verb, name)
+	file, err := os.OpenFile(os.Getenv("ORDERS"), os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	_, err = fmt.Fprintf(file, "%s %s\n", verb, name)
+	return err
+}
 
 // pause waits.
 func pause(span time.Duration) { <-time.After(span) }
--- a/review/stand-2/main_test.go
+++ b/review/stand-2/main_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &deployment{record: record, platform: &platform{record: record, network: network}, operator: &operator{record: record, network: network}, hasFault: os.Getenv("TROUBLE") != "0"}
+	out := &deployment{record: record, platform: &platform{record: record, network: network}, operator: &operator{record: record, network: network, hosts: []int{10, 11, 12}}, hasFault: os.Getenv("TROUBLE") != "0"}
 	if err := out.platform.serveList(); err != nil {
 		return nil, err
 	}
@@ -92,6 +92,7 @@
 	"route-version": func(deployment *deployment) (int, error) {
 		return playRollout(deployment, badVersion{share: 0.1, prefix: rosterRoutes[0].Prefix, runSpan: 55 * time.Second})
 	},
+	"lost-disk": lostDisk,
 	"late-version": func(deployment *deployment) (int, error) {
 		return playRollout(deployment, badVersion{share: 0.4, from: orderSpan * 93 / 100, runSpan: 30 * time.Second})
 	},
@@ -103,7 +104,7 @@
 		os.Exit(tests.Run())
 	}
 	if len(os.Args) == 4 && os.Args[1] == "settings" {
-		if err := writeSettings(os.Args[2], os.Args[3]); err != nil {
+		if err := writeSettings(os.Args[2], os.Args[3], true); err != nil {
 			fmt.Println(err)
 			os.Exit(statusNotRun)
 		}
