--- a/review/stand-2/client_test.go
+++ b/review/stand-2/client_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package standin
 
 import (
--- a/review/stand-2/fleet_test.go
+++ b/review/stand-2/fleet_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package standin holds the stand-ins of the second review: the platform, model replicas, clients and the operator
 // of a small deployment, as the users' pages describe them, and the checks of its cases. The scripts beside the cases
 // start the project's own programs. build-2.sh makes a program of this package with `go test -c`, which starts no process;
