--- a/review/stand-2/run-case.sh
+++ b/review/stand-2/run-case.sh
@@ -7,12 +7,13 @@
 network=127.$((20 + $$ % 200)).$((1 + $$ / 200 % 250))
 declare -A running
 finish() {
-	[ -n "$case_pid" ] && kill -9 "$case_pid" 2>/dev/null
+	[ -n "$case_pid" ] && kill "$case_pid" 2>/dev/null # timeout passes it on to the case
 	kill -9 "${running[@]}" 2>/dev/null
 	wait 2>/dev/null
 	rm -rf "$folder"
 }
 trap finish EXIT
+trap "exit 2" HUP INT TERM
 start() {
 	local program=controlplane
 	[[ $1 == counter-* ]] && program=dataplane
@@ -25,7 +26,7 @@
 done <"$folder/machines"
 export ORDERS="$folder/orders"
 mkfifo "$ORDERS" && exec 3<>"$ORDERS" || exit 2
-timeout 110 target/stand-2 "$1" "$2" "$network" &
+timeout -k 2 110 target/stand-2 "$1" "$2" "$network" &
 case_pid=$!
 while kill -0 "$case_pid" 2>/dev/null; do
 	read -r -t 0.2 verb name <&3 || continue
@@ -40,4 +41,6 @@
 	esac
 done
 wait "$case_pid"
-exit $?
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
